--- /dev/null
+++ b/lib/balance/policy.go
@@ -0,0 +1,202 @@
+package balance
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	unreachableBase = 100 * time.Millisecond
+	unreachableMax  = 5 * time.Second
+	closedFor       = time.Second
+
+	reportHalfLife    = 250 * time.Millisecond
+	otherDataCentre   = 500 * time.Microsecond // one way
+	otherRegion       = 20 * time.Millisecond  // one way
+	unknownLatency    = 2 * time.Millisecond
+	failingPenalty    = 250 * time.Millisecond
+	failingMemory     = 2 * time.Second
+	overloadPenalty   = 4.0
+	coldShare         = 0.25 // of the slots, until a report gives the limit
+	candidatesWeighed = 2
+)
+
+// Adaptive weighs two random candidates by the time that a request would
+// likely take at each: distance, latency and use of the limit, from reports
+// discounted by age. A target that fails most requests is charged a penalty,
+// since fast failures look like low latency.
+func Adaptive(now time.Time, here Place, candidates []*Entry, rng *rand.Rand) *Entry {
+	sample := sampled(candidates, rng)
+	usual := usualOf(now, candidates)
+	best, bestCost := sample[0], math.Inf(1)
+	for _, e := range sample {
+		if cost := e.cost(now, here, usual); cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	return best
+}
+
+// AdaptiveAll is Adaptive over all candidates in place of two.
+func AdaptiveAll(now time.Time, here Place, candidates []*Entry, rng *rand.Rand) *Entry {
+	usual := usualOf(now, candidates)
+	best, bestCost := candidates[0], math.Inf(1)
+	offset := rng.IntN(len(candidates))
+	for i := range candidates {
+		e := candidates[(i+offset)%len(candidates)]
+		if cost := e.cost(now, here, usual); cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	return best
+}
+
+func sampled(candidates []*Entry, rng *rand.Rand) []*Entry {
+	if len(candidates) <= candidatesWeighed {
+		return candidates
+	}
+	first := rng.IntN(len(candidates))
+	second := rng.IntN(len(candidates) - 1)
+	if second >= first {
+		second++
+	}
+	return []*Entry{candidates[first], candidates[second]}
+}
+
+// usual is the mean over the candidates, toward which stale reports are drawn.
+type usual struct {
+	others  float64
+	latency float64
+}
+
+func usualOf(now time.Time, candidates []*Entry) usual {
+	var u usual
+	weights := 0.0
+	for _, e := range candidates {
+		w := freshness(now.Sub(e.reportedAt))
+		if e.reportedAt.IsZero() {
+			continue
+		}
+		weights += w
+		u.others += w * e.others()
+		u.latency += w * e.report.Latency().Seconds()
+	}
+	if weights < 0.01 {
+		return usual{latency: unknownLatency.Seconds()}
+	}
+	u.others /= weights
+	u.latency /= weights
+	return u
+}
+
+func freshness(age time.Duration) float64 {
+	return math.Exp2(-age.Seconds() / reportHalfLife.Seconds())
+}
+
+// others estimates the requests of other nodes at the target when it reported.
+func (e *Entry) others() float64 {
+	mine := e.outstanding - e.sentSince
+	return float64(max(e.report.InFlight()+e.report.Queued()-max(mine, 0), 0))
+}
+
+func (e *Entry) limit() float64 {
+	if e.reportedAt.IsZero() || e.report.Limit() == 0 {
+		return math.Max(1, coldShare*float64(e.target.slots))
+	}
+	return float64(e.report.Limit())
+}
+
+// cost returns the expected time of a request at the target in seconds.
+func (e *Entry) cost(now time.Time, here Place, u usual) float64 {
+	w := 0.0
+	if !e.reportedAt.IsZero() {
+		w = freshness(now.Sub(e.reportedAt))
+	}
+	others := w*e.others() + (1-w)*u.others
+	latency := w*e.report.Latency().Seconds() + (1-w)*u.latency
+	if latency <= 0 {
+		latency = unknownLatency.Seconds()
+	}
+	use := (float64(e.outstanding) + others + 1) / e.limit()
+	cost := latency*(1+use*use) + distance(here, e.target.place).Seconds()
+	if use > 1 {
+		cost += latency * overloadPenalty * (use - 1)
+	}
+	if e.report.Failing() && now.Sub(e.reportedAt) < failingMemory {
+		cost += failingPenalty.Seconds()
+	}
+	return cost
+}
+
+// distance returns the time that a call spends on the way there and back.
+func distance(a, b Place) time.Duration {
+	switch {
+	case a.region != b.region:
+		return 2 * otherRegion
+	case a.dataCentre != b.dataCentre:
+		return 2 * otherDataCentre
+	}
+	return 0
+}
+
+// PowerOfTwo takes the one of two random candidates with fewer requests of
+// this node in flight.
+func PowerOfTwo(_ time.Time, _ Place, candidates []*Entry, rng *rand.Rand) *Entry {
+	sample := sampled(candidates, rng)
+	best := sample[0]
+	for _, e := range sample[1:] {
+		if e.outstanding < best.outstanding {
+			best = e
+		}
+	}
+	return best
+}
+
+// Random takes any candidate.
+func Random(_ time.Time, _ Place, candidates []*Entry, rng *rand.Rand) *Entry {
+	return candidates[rng.IntN(len(candidates))]
+}
+
+// LeastReported takes the candidate whose newest report shows the least load,
+// however old the report is.
+func LeastReported(_ time.Time, _ Place, candidates []*Entry, rng *rand.Rand) *Entry {
+	offset := rng.IntN(len(candidates))
+	best := candidates[offset]
+	for i := range candidates {
+		e := candidates[(i+offset)%len(candidates)]
+		if e.report.InFlight()+e.report.Queued() < best.report.InFlight()+best.report.Queued() {
+			best = e
+		}
+	}
+	return best
+}
+
+// NewRoundRobin returns a policy that takes the candidates in turn.
+func NewRoundRobin() Policy {
+	next := 0
+	return func(_ time.Time, _ Place, candidates []*Entry, _ *rand.Rand) *Entry {
+		next++
+		return candidates[next%len(candidates)]
+	}
+}
+
+// ByName returns the policy with the given name: adaptive, adaptive-all,
+// round-robin, random, least-reported or power-of-two.
+func ByName(name string) (Policy, bool) {
+	switch name {
+	case "adaptive":
+		return Adaptive, true
+	case "adaptive-all":
+		return AdaptiveAll, true
+	case "round-robin":
+		return NewRoundRobin(), true
+	case "random":
+		return Random, true
+	case "least-reported":
+		return LeastReported, true
+	case "power-of-two":
+		return PowerOfTwo, true
+	}
+	return nil, false
+}
--- /dev/null
+++ b/lib/caller/handler.go
@@ -0,0 +1,339 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"savorygap.example/lib/admission"
+	"savorygap.example/lib/attempt"
+	"savorygap.example/lib/balance"
+	"savorygap.example/lib/chart"
+	"savorygap.example/lib/document"
+	"savorygap.example/lib/load"
+	"savorygap.example/lib/outcome"
+	"savorygap.example/lib/retry"
+	"savorygap.example/lib/route"
+	"savorygap.example/lib/server"
+)
+
+const copyBuffer = 32 << 10 // bytes
+
+// Events of the chart "request".
+const (
+	eventMatch     chart.Event = "match"
+	eventReject    chart.Event = "reject"
+	eventSend      chart.Event = "send"
+	eventExhausted chart.Event = "exhausted"
+	eventAnswer    chart.Event = "answer"
+	eventNotRun    chart.Event = "notRun"
+	eventRetry     chart.Event = "retry"
+	eventUnknown   chart.Event = "unknown"
+	eventComplete  chart.Event = "complete"
+	eventCut       chart.Event = "cut"
+)
+
+// Run makes one attempt at a target.
+type Run func(ctx context.Context, t balance.Target, c attempt.Call, body io.Reader) (*attempt.Answer, error)
+
+// Ended describes a request that has ended, for logs and metrics.
+type Ended struct {
+	requestID string
+	service   string
+	class     document.Class
+	method    string
+	state     chart.State
+	status    int
+	attempts  int
+	duration  time.Duration
+	reason    string
+}
+
+// RequestID returns the id that logs of all nodes share.
+func (e Ended) RequestID() string { return e.requestID }
+
+// Service returns the service, empty when none matched.
+func (e Ended) Service() string { return e.service }
+
+// Class returns the class.
+func (e Ended) Class() document.Class { return e.class }
+
+// Method returns the HTTP method.
+func (e Ended) Method() string { return e.method }
+
+// State returns the final state of the chart "request".
+func (e Ended) State() chart.State { return e.state }
+
+// Status returns the HTTP status that the caller got.
+func (e Ended) Status() int { return e.status }
+
+// Attempts returns how many attempts were made.
+func (e Ended) Attempts() int { return e.attempts }
+
+// Duration returns how long the request took.
+func (e Ended) Duration() time.Duration { return e.duration }
+
+// Reason returns why the request was not answered.
+func (e Ended) Reason() string { return e.reason }
+
+// Handler serves callers.
+type Handler struct {
+	clock    clockwork.Clock
+	chart    *chart.Chart
+	router   *route.Router
+	run      Run
+	observe  func(Ended)
+	maxDepth int
+}
+
+// NewHandler returns the handler. observe is called at the end of every
+// request, from its goroutine.
+func NewHandler(clock clockwork.Clock, requestChart *chart.Chart, router *route.Router, run Run, observe func(Ended)) *Handler {
+	return &Handler{clock: clock, chart: requestChart, router: router, run: run, observe: observe, maxDepth: maxDepth}
+}
+
+// request is the state of one caller's request; it belongs to its goroutine.
+type request struct {
+	handler  *Handler
+	machine  *chart.Machine
+	w        http.ResponseWriter
+	in       *http.Request
+	demands  demands
+	plan     route.Plan
+	started  time.Time
+	tried    []balance.ID
+	attempts int
+	notRuns  int
+	retries  int
+	status   int
+	reason   string
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, in *http.Request) {
+	q := &request{handler: h, w: w, in: in, started: h.clock.Now()}
+	machine, err := h.chart.Start(chart.Actions{
+		"countAttempt": func() { q.attempts++ },
+		"countNotRun":  func() { q.notRuns++ },
+		"countRetry":   func() { q.retries++ },
+	})
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	q.machine = machine
+	q.serve()
+	h.observe(q.ended())
+	if machine.State() == "truncated" {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (q *request) ended() Ended {
+	return Ended{
+		requestID: q.demands.requestID, service: q.plan.Match().Service(), class: q.plan.Match().Policy().Class(),
+		method: q.in.Method, state: q.machine.State(), status: q.status, attempts: q.attempts,
+		duration: q.handler.clock.Now().Sub(q.started), reason: q.reason,
+	}
+}
+
+// fire moves the chart. An event that the state does not take is a fault of
+// the program and ends the request.
+func (q *request) fire(e chart.Event) {
+	if err := q.machine.Fire(e); err != nil {
+		panic(err)
+	}
+}
+
+func (q *request) serve() {
+	if err := q.match(); err != nil {
+		q.fire(eventReject)
+		q.reject(err)
+		return
+	}
+	q.fire(eventMatch)
+	ctx, cancel := context.WithTimeout(q.in.Context(), q.timeout())
+	defer cancel()
+	body, err := newSource(q.in, http.MaxBytesReader(q.w, q.in.Body, q.plan.Match().Policy().MaxBody()))
+	if err != nil {
+		q.fire(eventExhausted)
+		q.refuse(outcome.NewNotRun("request body was cut").Permanent())
+		return
+	}
+	answer, err := q.try(ctx, body)
+	if err != nil {
+		q.refuse(err)
+		return
+	}
+	q.fire(eventAnswer)
+	q.answer(answer)
+}
+
+func (q *request) match() error {
+	d, err := readDemands(q.in.Header)
+	q.demands = d
+	if err != nil {
+		return err
+	}
+	if d.depth > q.handler.maxDepth {
+		return &BadRequestError{field: server.HeaderDepth, reason: "is above the greatest depth of nested calls"}
+	}
+	q.plan, err = q.handler.router.Begin(q.in.Context(), q.in.Host, q.in.Method, q.in.URL.Path, d.key, d.created)
+	if err != nil {
+		return err
+	}
+	policy := q.plan.Match().Policy()
+	if q.in.ContentLength > policy.MaxBody() {
+		return &http.MaxBytesError{Limit: policy.MaxBody()}
+	}
+	if policy.KeyRequired() && d.key == "" && !policy.Idempotent(q.in.Method) {
+		return &BadRequestError{field: server.HeaderKey, reason: "is missing; the rule \"" + policy.Rule() + "\" requires it"}
+	}
+	return nil
+}
+
+func (q *request) timeout() time.Duration {
+	policy := q.plan.Match().Policy().Timeout()
+	if q.demands.timeout > 0 {
+		return min(policy, q.demands.timeout)
+	}
+	return policy
+}
+
+func (q *request) idempotent() bool {
+	return q.plan.Match().Policy().Idempotent(q.in.Method)
+}
+
+// try tries targets until one answers, the outcome forbids another try,
+// or no target or budget is left.
+func (q *request) try(ctx context.Context, body *source) (*attempt.Answer, error) {
+	target, found := q.plan.Target()
+	last := q.plan.Last()
+	if !found {
+		q.fire(eventExhausted)
+		return nil, outcome.NewNotRun("no target")
+	}
+	for {
+		q.fire(eventSend)
+		answer, err := q.one(ctx, target, last, body)
+		if err == nil {
+			return answer, nil
+		}
+		next, lastNext, ok := q.another(ctx, err, body)
+		if !ok {
+			return nil, err
+		}
+		target, last = next, lastNext
+	}
+}
+
+// another decides whether err is followed by a further attempt.
+func (q *request) another(ctx context.Context, err error, body *source) (balance.Target, bool, bool) {
+	policy := q.plan.Match().Policy()
+	var notRun *outcome.NotRunError
+	isNotRun := errors.As(err, &notRun)
+	allowed := retry.Allowed(err, q.idempotent()) && body.replayable() &&
+		ctx.Err() == nil && q.notRuns+q.retries < policy.Retries()
+	var choice route.Choice
+	if allowed {
+		ask := route.NewAsk(q.plan.Match().Service(), q.demands.depth, q.tried)
+		if isNotRun && notRun.Reason() == admission.ReasonBusy.String() {
+			ask = ask.Rerouting()
+		}
+		if q.keyed() {
+			ask = ask.Keyed(q.demands.key, q.demands.created)
+		}
+		choice = q.handler.router.Again(ctx, ask)
+	}
+	target, found := choice.Target()
+	switch {
+	case found && isNotRun:
+		q.fire(eventNotRun)
+	case found:
+		q.fire(eventRetry)
+	case isNotRun:
+		q.fire(eventExhausted)
+	default:
+		q.fire(eventUnknown)
+	}
+	return target, choice.Last(), found
+}
+
+func (q *request) keyed() bool { return q.demands.key != "" && !q.idempotent() }
+
+// one makes an attempt, with a second one beside it when it is slow and the
+// rule allows that.
+func (q *request) one(ctx context.Context, t balance.Target, last bool, body *source) (*attempt.Answer, error) {
+	if q.plan.HedgeAfter() == 0 || body.length != 0 || q.attempts > 1 {
+		q.tried = append(q.tried, t.ID())
+		return q.single(ctx, t, last, body)
+	}
+	return q.hedged(ctx, t, last, body)
+}
+
+// single makes one attempt and settles it with the router when it ends.
+func (q *request) single(ctx context.Context, t balance.Target, last bool, body *source) (*attempt.Answer, error) {
+	sent := q.handler.clock.Now()
+	answer, err := q.handler.run(ctx, t, q.call(ctx, t, last, body), body.open())
+	latency := q.handler.clock.Now().Sub(sent)
+	settlement := route.NewSettlement(q.plan.Match().Service(), t.ID(), endingOf(ctx, err), latency)
+	if err != nil {
+		var notRun *outcome.NotRunError
+		if errors.As(err, &notRun) {
+			if report, ok := notRun.Report(); ok {
+				settlement = settlement.WithReport(report)
+			}
+		}
+		q.handler.router.Settle(settlement)
+		return nil, err
+	}
+	return q.settling(answer, settlement), nil
+}
+
+// settling returns the answer with the settlement of its attempt bound to its
+// end.
+func (q *request) settling(a *attempt.Answer, s route.Settlement) *attempt.Answer {
+	finish := func(bodyErr error) load.Report {
+		report := a.Finish(bodyErr)
+		q.handler.router.Settle(s.WithReport(report))
+		return report
+	}
+	return attempt.NewAnswer(a.Status(), a.Header(), a.Length(), a.Body(), a.Trailer, a.Report, finish)
+}
+
+func endingOf(ctx context.Context, err error) balance.Ending {
+	var notRun *outcome.NotRunError
+	switch {
+	case err == nil:
+		return balance.Answered
+	case errors.Is(ctx.Err(), context.Canceled):
+		return balance.Abandoned
+	case errors.As(err, &notRun):
+		if _, reported := notRun.Report(); reported {
+			return balance.Refused
+		}
+		return balance.Unreachable
+	}
+	return balance.Lost
+}
+
+func (q *request) call(ctx context.Context, t balance.Target, last bool, body *source) attempt.Call {
+	policy := q.plan.Match().Policy()
+	deadline, _ := ctx.Deadline()
+	remaining := deadline.Sub(q.handler.clock.Now())
+	c := attempt.NewCall(q.demands.requestID, q.plan.Match().Service(), t.ID().Address(), remaining).
+		WithRequest(q.in.Method, q.in.URL.RequestURI(), q.in.Host, forwarded(q.in.Header), body.length).
+		WithPriority(policy.Class(), q.demands.depth+1, policy.Short(), !last).
+		WithRevision(q.plan.Revision())
+	if body.streams() {
+		c = c.Holding()
+	}
+	if q.keyed() {
+		c = c.WithKey(q.demands.key, q.demands.created)
+	}
+	return c
+}
--- /dev/null
+++ b/lib/document/errors.go
@@ -0,0 +1,117 @@
+package document
+
+import (
+	"fmt"
+	"strings"
+)
+
+// ConflictError reports a change that expects another revision than the one in
+// force.
+type ConflictError struct {
+	expected  Revision
+	actual    Revision
+	author    string
+	differing []Difference
+}
+
+// NewConflictError returns a conflict found by comparing revisions elsewhere.
+func NewConflictError(expected, actual Revision, author string, differing []Difference) *ConflictError {
+	return &ConflictError{expected: expected, actual: actual, author: author, differing: differing}
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "revision %d expected, revision %d is in force", e.expected, e.actual)
+	if e.author != "" {
+		fmt.Fprintf(&b, " (last change by %q)", e.author)
+	}
+	for _, d := range e.differing {
+		fmt.Fprintf(&b, "; %s", d)
+	}
+	return b.String()
+}
+
+// Expected returns the revision that the change was based on.
+func (e *ConflictError) Expected() Revision { return e.expected }
+
+// Actual returns the revision in force.
+func (e *ConflictError) Actual() Revision { return e.actual }
+
+// Differing returns the fields in which the change and the resources in force
+// differ.
+func (e *ConflictError) Differing() []Difference { return e.differing }
+
+// InvalidError reports a resource that is not sound.
+type InvalidError struct {
+	key    Key
+	field  string
+	reason string
+}
+
+// NewInvalidError returns an error about one field of one resource.
+func NewInvalidError(key Key, field, reason string) *InvalidError {
+	return &InvalidError{key: key, field: field, reason: reason}
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	if e.field == "" {
+		return fmt.Sprintf("%s %s", e.key, e.reason)
+	}
+	return fmt.Sprintf("%s: field %q %s", e.key, e.field, e.reason)
+}
+
+// Key returns the resource at fault.
+func (e *InvalidError) Key() Key { return e.key }
+
+// Field returns the path of the field at fault, empty for the whole resource.
+func (e *InvalidError) Field() string { return e.field }
+
+// Reason returns what is wrong.
+func (e *InvalidError) Reason() string { return e.reason }
+
+// GapError reports a delta that does not start at the revision held.
+type GapError struct {
+	have Revision
+	from Revision
+	to   Revision
+}
+
+// Error implements error.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("delta from revision %d to %d does not apply to revision %d", e.from, e.to, e.have)
+}
+
+// To returns the revision that the delta would have produced.
+func (e *GapError) To() Revision { return e.to }
+
+// Difference names one field in which two versions of a resource differ.
+type Difference struct {
+	key   Key
+	field string
+	want  string
+	have  string
+}
+
+// NewDifference returns a difference from its decoded parts.
+func NewDifference(key Key, field, want, have string) Difference {
+	return Difference{key: key, field: field, want: want, have: have}
+}
+
+// Key returns the resource that differs.
+func (d Difference) Key() Key { return d.key }
+
+// Field returns the path of the field.
+func (d Difference) Field() string { return d.field }
+
+// Want returns the value in the change.
+func (d Difference) Want() string { return d.want }
+
+// Have returns the value in force.
+func (d Difference) Have() string { return d.have }
+
+// String returns the difference in one line.
+func (d Difference) String() string {
+	return fmt.Sprintf("%s field %q is %q, wanted %q", d.key, d.field, d.have, d.want)
+}
--- /dev/null
+++ b/lib/member/digest.go
@@ -0,0 +1,123 @@
+package member
+
+import (
+	"encoding/binary"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Buckets is the number of digests into which a view is divided.
+const Buckets = 64
+
+// Digests holds one digest for each bucket of a view. Two views with the same
+// digests are the same.
+type Digests [Buckets]uint64
+
+// Digests returns the digests of the view.
+func (t *Table) Digests() Digests { return t.digests }
+
+// Digest returns one digest of the whole view.
+func (t *Table) Digest() uint64 {
+	d := xxhash.New()
+	var b [8]byte
+	for _, bucket := range t.digests {
+		binary.LittleEndian.PutUint64(b[:], bucket)
+		_, _ = d.Write(b[:])
+	}
+	return d.Sum64()
+}
+
+// Differing returns the buckets in which other differs from the view.
+func (t *Table) Differing(other Digests) []int {
+	var out []int
+	for i := range t.digests {
+		if t.digests[i] != other[i] {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// InBuckets returns the claims in the given buckets.
+func (t *Table) InBuckets(buckets []int) []Claim {
+	wanted := map[int]bool{}
+	for _, b := range buckets {
+		wanted[b] = true
+	}
+	var out []Claim
+	for _, c := range t.All() {
+		if wanted[bucketOf(c.name)] {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// toggle adds a claim to its digest, or takes it out again.
+func (t *Table) toggle(c Claim) {
+	d := xxhash.New()
+	_, _ = d.WriteString(c.name)
+	var b [17]byte
+	binary.LittleEndian.PutUint64(b[:], c.epoch)
+	binary.LittleEndian.PutUint64(b[8:], c.version)
+	b[16] = byte(c.status)
+	_, _ = d.Write(b[:])
+	t.digests[bucketOf(c.name)] ^= d.Sum64()
+}
+
+func bucketOf(name string) int { return int(xxhash.Sum64String(name) % Buckets) }
+
+const nearNeighbours = 3 // on the ring
+
+// Neighbours returns the nodes that this node keeps links to: the next ones on
+// the ring of hashed names, and those at a half, a quarter and an eighth of the
+// ring, so that a change crosses the fleet in few steps.
+func (t *Table) Neighbours() []Claim {
+	ring := t.Usable()
+	sort.Slice(ring, func(i, j int) bool {
+		return xxhash.Sum64String(ring[i].name) < xxhash.Sum64String(ring[j].name)
+	})
+	at := -1
+	for i, c := range ring {
+		if c.name == t.self.name {
+			at = i
+		}
+	}
+	if at < 0 {
+		return nil
+	}
+	var out []Claim
+	seen := map[string]bool{t.self.name: true}
+	for _, step := range steps(len(ring)) {
+		c := ring[(at+step)%len(ring)]
+		if !seen[c.name] {
+			seen[c.name] = true
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func steps(n int) []int {
+	out := make([]int, 0, nearNeighbours+3)
+	for i := 1; i <= nearNeighbours; i++ {
+		out = append(out, i)
+	}
+	return append(out, n/2, n/4, n/8)
+}
+
+// Chosen returns the count nodes of a data centre that prevail in rendezvous
+// hashing for a duty, in this view.
+func (t *Table) Chosen(duty, dataCentre string, count int) []Claim {
+	var local []Claim
+	for _, c := range t.Usable() {
+		if c.dataCentre == dataCentre {
+			local = append(local, c)
+		}
+	}
+	sort.Slice(local, func(i, j int) bool {
+		return xxhash.Sum64String(duty+" "+local[i].name) > xxhash.Sum64String(duty+" "+local[j].name)
+	})
+	return local[:min(count, len(local))]
+}
--- /dev/null
+++ b/lib/node/quic.go
@@ -0,0 +1,159 @@
+package node
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/quic-go/quic-go"
+
+	"savorygap.example/lib/task"
+)
+
+const (
+	quicInbox        = 256
+	quicIdle         = 30 * time.Second
+	quicStreamWindow = 512 << 10 // bytes
+	quicConnWindow   = 4 << 20   // bytes
+	quicMaxStreams   = 1024
+	quicCancelled    = 1 // application error code
+)
+
+// QUIC is the transport that opens one QUIC stream a call on one connection a
+// peer. It is the task that owns the connections.
+type QUIC struct {
+	config func(peerName string) *tls.Config
+	inbox  *task.Inbox[quicMessage]
+	conns  map[Peer]*quic.Conn
+}
+
+// quicMessage is a closed union; exactly one part is set.
+type quicMessage struct {
+	take *takeConn
+	put  *putConn
+}
+
+type takeConn struct {
+	peer  Peer
+	reply task.Reply[*quic.Conn]
+}
+
+type putConn struct {
+	peer Peer
+	conn *quic.Conn
+}
+
+// QUICSettings returns the settings that both ends use for calls. 0-RTT is
+// off, since its data can be replayed.
+func QUICSettings() *quic.Config {
+	return &quic.Config{
+		MaxIdleTimeout:                 quicIdle,
+		InitialStreamReceiveWindow:     quicStreamWindow,
+		MaxStreamReceiveWindow:         quicStreamWindow,
+		InitialConnectionReceiveWindow: quicConnWindow,
+		MaxConnectionReceiveWindow:     quicConnWindow,
+		MaxIncomingStreams:             quicMaxStreams,
+		MaxIncomingUniStreams:          -1,
+		DisablePathMTUDiscovery:        true,
+	}
+}
+
+// NewQUIC returns the transport; config yields the TLS configuration for a
+// peer whose certificate must carry the given name.
+func NewQUIC(config func(peerName string) *tls.Config) *QUIC {
+	return &QUIC{config: config, inbox: task.NewInbox[quicMessage](quicInbox), conns: map[Peer]*quic.Conn{}}
+}
+
+// Run owns the connections until ctx ends.
+func (q *QUIC) Run(ctx context.Context) {
+	q.inbox.Run(ctx, q.handle)
+	for _, conn := range q.conns {
+		_ = conn.CloseWithError(0, "")
+	}
+}
+
+func (q *QUIC) handle(m quicMessage) {
+	switch {
+	case m.take != nil:
+		conn := q.conns[m.take.peer]
+		if conn != nil && conn.Context().Err() != nil {
+			conn = nil
+			delete(q.conns, m.take.peer)
+		}
+		m.take.reply <- conn
+	case m.put != nil:
+		if old := q.conns[m.put.peer]; old == nil || old.Context().Err() != nil {
+			q.conns[m.put.peer] = m.put.conn
+		}
+	}
+}
+
+// Open returns a new stream to the peer, dialling when there is no connection.
+func (q *QUIC) Open(ctx context.Context, p Peer) (*Stream, error) {
+	reply := task.NewReply[*quic.Conn]()
+	if !q.inbox.Send(quicMessage{take: &takeConn{peer: p, reply: reply}}) {
+		return nil, context.Canceled
+	}
+	conn, ok := reply.Wait(ctx, q.inbox.Done())
+	if !ok || conn == nil {
+		dialled, err := quic.DialAddr(ctx, p.address, q.config(p.name), QUICSettings())
+		if err != nil {
+			return nil, err
+		}
+		conn = dialled
+		q.inbox.Send(quicMessage{put: &putConn{peer: p, conn: conn}})
+	}
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return streamOfQUIC(conn, stream), nil
+}
+
+// Reuse ends a stream; QUIC opens a new one for each call.
+func (q *QUIC) Reuse(_ Peer, s *Stream) { s.Close() }
+
+func streamOfQUIC(conn *quic.Conn, stream *quic.Stream) *Stream {
+	name := ""
+	if peers := conn.ConnectionState().TLS.PeerCertificates; len(peers) > 0 {
+		name = peers[0].Subject.CommonName
+	}
+	closing := func() {
+		stream.CancelRead(quicCancelled)
+		stream.CancelWrite(quicCancelled)
+	}
+	parts := NewStreamParts(stream.Read, stream.Write, closing, stream.Close, func() error { return nil }, false)
+	return NewStream(name, parts)
+}
+
+// ListenQUIC accepts connections and serves every stream in its own task until
+// ctx ends.
+func ListenQUIC(ctx context.Context, packets net.PacketConn, config *tls.Config, draining <-chan struct{}, handle Handler) error {
+	listener, err := quic.Listen(packets, config, QUICSettings())
+	if err != nil {
+		return err
+	}
+	defer func() { _ = listener.Close() }()
+	for {
+		conn, err := listener.Accept(ctx)
+		if errors.Is(err, context.Canceled) || errors.Is(err, quic.ErrServerClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		go serveQUIC(ctx, conn, draining, handle)
+	}
+}
+
+func serveQUIC(ctx context.Context, conn *quic.Conn, draining <-chan struct{}, handle Handler) {
+	for {
+		stream, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		go func() { _ = Serve(ctx, draining, streamOfQUIC(conn, stream), handle) }()
+	}
+}
--- /dev/null
+++ b/lib/operator/api.go
@@ -0,0 +1,361 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"savorygap.example/lib/document"
+	"savorygap.example/lib/keys"
+	"savorygap.example/lib/store"
+	"savorygap.example/lib/wire"
+)
+
+const (
+	maxChangeBytes = 2 << 20
+	applyTimeout   = 15 * time.Second
+	maxIDLength    = 128
+	watchPoll      = 250 * time.Millisecond
+	watchLimit     = 10 * time.Minute
+)
+
+// View yields the document in force at this node, nil when there is none.
+type View func(ctx context.Context) *document.Document
+
+// Census asks all nodes for their revision.
+type Census func(ctx context.Context) StatusForm
+
+// API is the resource API of one node.
+type API struct {
+	service *Service
+	clock   clockwork.Clock
+	view    View
+	census  Census
+	limits  *limits
+	log     func(author, id string, revision document.Revision, err error)
+}
+
+// NewAPI returns the API; log is told of every change that was asked for.
+func NewAPI(s *Service, clock clockwork.Clock, view View, census Census, log func(author, id string, revision document.Revision, err error)) *API {
+	return &API{service: s, clock: clock, view: view, census: census, limits: newLimits(clock), log: log}
+}
+
+// Run owns the rate limits until ctx ends.
+func (a *API) Run(ctx context.Context) { a.limits.run(ctx) }
+
+// Handler returns the HTTP side. It expects TLS with a client certificate of
+// the role operate or read.
+func (a *API) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/resources", a.allow(keys.RoleRead, a.list))
+	mux.HandleFunc("GET /v1/resources/{kind}", a.allow(keys.RoleRead, a.list))
+	mux.HandleFunc("GET /v1/resources/{kind}/{name}", a.allow(keys.RoleRead, a.get))
+	mux.HandleFunc("PUT /v1/resources/{kind}/{name}", a.allow(keys.RoleOperate, a.put))
+	mux.HandleFunc("DELETE /v1/resources/{kind}/{name}", a.allow(keys.RoleOperate, a.delete))
+	mux.HandleFunc("POST /v1/changes", a.allow(keys.RoleOperate, a.change))
+	mux.HandleFunc("GET /v1/effective/{branch}", a.allow(keys.RoleRead, a.effective))
+	mux.HandleFunc("GET /v1/status", a.allow(keys.RoleRead, a.status))
+	mux.HandleFunc("GET /v1/watch", a.allow(keys.RoleRead, a.watch))
+	mux.HandleFunc("GET /v1/audit", a.allow(keys.RoleRead, a.audit))
+	return mux
+}
+
+// allow lets a request through whose certificate has the role, or operate,
+// which includes read, and whose holder is within the rate limit.
+func (a *API) allow(role keys.Role, next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		name, held, ok := keys.Identity(r.TLS)
+		if !ok || (held != role && held != keys.RoleOperate) {
+			writeProblem(w, http.StatusForbidden, Problem{Code: "forbidden", Error: "role \"" + string(held) + "\" may not do this; role \"" + string(role) + "\" is wanted"})
+			return
+		}
+		if !a.limits.allow(r.Context(), name) {
+			w.Header().Set("Retry-After", "1")
+			writeProblem(w, http.StatusTooManyRequests, Problem{Code: "rate", Error: "too many requests from \"" + name + "\"; wait a second"})
+			return
+		}
+		next(w, r)
+	}
+}
+
+func author(r *http.Request) string {
+	name, _, _ := keys.Identity(r.TLS)
+	return name
+}
+
+func (a *API) document(w http.ResponseWriter, r *http.Request) (*document.Document, bool) {
+	d := a.view(r.Context())
+	if d == nil {
+		writeProblem(w, http.StatusServiceUnavailable, Problem{Code: "none", Error: "no configuration is in force at this node yet"})
+		return nil, false
+	}
+	w.Header().Set("ETag", etag(d.Revision()))
+	return d, true
+}
+
+func etag(r document.Revision) string { return `"` + strconv.FormatUint(uint64(r), 10) + `"` }
+
+func (a *API) list(w http.ResponseWriter, r *http.Request) {
+	d, ok := a.document(w, r)
+	if !ok {
+		return
+	}
+	kind := r.PathValue("kind")
+	form := ListForm{Revision: uint64(d.Revision()), Resources: []json.RawMessage{}}
+	for _, resource := range d.Resources() {
+		if kind != "" && string(resource.Key().Kind()) != kind {
+			continue
+		}
+		raw, err := wire.EncodeResource(resource)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		form.Resources = append(form.Resources, raw)
+	}
+	writeJSON(w, http.StatusOK, form)
+}
+
+func keyOf(r *http.Request) document.Key {
+	return document.NewKey(document.Kind(r.PathValue("kind")), r.PathValue("name"))
+}
+
+func (a *API) get(w http.ResponseWriter, r *http.Request) {
+	d, ok := a.document(w, r)
+	if !ok {
+		return
+	}
+	resource, ok := d.Get(keyOf(r))
+	if !ok {
+		writeProblem(w, http.StatusNotFound, Problem{Code: "absent", Error: keyOf(r).String() + " does not exist"})
+		return
+	}
+	raw, err := wire.EncodeResource(resource)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	writeJSON(w, http.StatusOK, raw)
+}
+
+func (a *API) put(w http.ResponseWriter, r *http.Request) {
+	var raw json.RawMessage
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes)).Decode(&raw); err != nil {
+		writeProblem(w, http.StatusBadRequest, Problem{Code: "malformed", Error: err.Error()})
+		return
+	}
+	resource, err := wire.DecodeResource(raw)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	if resource.Key() != keyOf(r) {
+		writeProblem(w, http.StatusBadRequest, Problem{Code: "malformed", Error: "the body is " + resource.Key().String() + ", the path " + keyOf(r).String()})
+		return
+	}
+	a.conditional(w, r, []document.Resource{resource}, nil)
+}
+
+func (a *API) delete(w http.ResponseWriter, r *http.Request) {
+	a.conditional(w, r, nil, []document.Key{keyOf(r)})
+}
+
+// conditional makes a change under If-Match, with the operation id from the
+// header field Idempotency-Key.
+func (a *API) conditional(w http.ResponseWriter, r *http.Request, puts []document.Resource, deletes []document.Key) {
+	id := r.Header.Get("Idempotency-Key")
+	c := document.NewChange(id, author(r), a.clock.Now(), puts, deletes)
+	if match := strings.Trim(r.Header.Get("If-Match"), `"`); match != "" && match != "*" {
+		revision, err := strconv.ParseUint(match, 10, 64)
+		if err != nil {
+			writeProblem(w, http.StatusBadRequest, Problem{Code: "malformed", Field: "If-Match", Error: "If-Match takes a revision in quotes"})
+			return
+		}
+		c = c.Expecting(document.Revision(revision))
+	}
+	a.apply(w, r, c, r.URL.Query().Get("dryRun") == "true")
+}
+
+func (a *API) change(w http.ResponseWriter, r *http.Request) {
+	var form ChangeForm
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxChangeBytes))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&form); err != nil {
+		writeProblem(w, http.StatusBadRequest, Problem{Code: "malformed", Error: err.Error()})
+		return
+	}
+	puts := make([]document.Resource, 0, len(form.Puts))
+	for _, raw := range form.Puts {
+		resource, err := wire.DecodeResource(raw)
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		puts = append(puts, resource)
+	}
+	deletes := make([]document.Key, 0, len(form.Deletes))
+	for _, text := range form.Deletes {
+		deletes = append(deletes, wire.ParseKey(text))
+	}
+	c := document.NewChange(form.ID, author(r), a.clock.Now(), puts, deletes)
+	if form.Expected != nil {
+		c = c.Expecting(document.Revision(*form.Expected))
+	}
+	a.apply(w, r, c, form.DryRun)
+}
+
+func (a *API) apply(w http.ResponseWriter, r *http.Request, c document.Change, dryRun bool) {
+	if c.ID() == "" || len(c.ID()) > maxIDLength {
+		writeProblem(w, http.StatusBadRequest, Problem{Code: "malformed", Field: "id", Error: "an operation id of 1 to 128 characters is wanted"})
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), applyTimeout)
+	defer cancel()
+	d, err := a.service.Apply(ctx, c, dryRun)
+	var revision document.Revision
+	if d != nil {
+		revision = d.Revision()
+	}
+	if !dryRun {
+		a.log(author(r), c.ID(), revision, err)
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set("ETag", etag(revision))
+	writeJSON(w, http.StatusOK, ResultForm{Revision: uint64(revision), DryRun: dryRun})
+}
+
+func (a *API) effective(w http.ResponseWriter, r *http.Request) {
+	d, ok := a.document(w, r)
+	if !ok {
+		return
+	}
+	branch := r.PathValue("branch")
+	if _, ok := d.Get(document.NewKey(document.KindBranch, branch)); !ok {
+		writeProblem(w, http.StatusNotFound, Problem{Code: "absent", Error: "branch \"" + branch + "\" does not exist"})
+		return
+	}
+	form := EffectiveForm{Branch: branch}
+	for _, rule := range d.Effective(branch) {
+		f := EffectiveRuleForm{Name: rule.Name()}
+		for _, field := range document.Fields() {
+			s := rule.Sourced(field)
+			f.Values = append(f.Values, EffectiveValueForm{Field: string(field), Value: s.Value(), Origin: string(s.Origin())})
+		}
+		form.Rules = append(form.Rules, f)
+	}
+	writeJSON(w, http.StatusOK, form)
+}
+
+func (a *API) status(w http.ResponseWriter, r *http.Request) {
+	writeJSON(w, http.StatusOK, a.census(r.Context()))
+}
+
+func (a *API) audit(w http.ResponseWriter, r *http.Request) {
+	d, ok := a.document(w, r)
+	if !ok {
+		return
+	}
+	form := AuditForm{Operations: []wire.OperationForm{}}
+	for _, o := range d.Operations() {
+		form.Operations = append(form.Operations, wire.ToOperationForm(o))
+	}
+	writeJSON(w, http.StatusOK, form)
+}
+
+// watch streams a line for every revision above the query parameter after that
+// comes in force at this node, with the operations that led there. A client
+// resumes with the last revision that it saw.
+func (a *API) watch(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	ctx, cancel := context.WithTimeout(r.Context(), watchLimit)
+	defer cancel()
+	w.Header().Set("Content-Type", "application/jsonl")
+	controller := http.NewResponseController(w)
+	encoder := json.NewEncoder(w)
+	for {
+		if d := a.view(ctx); d != nil && uint64(d.Revision()) > after {
+			if encoder.Encode(eventOf(d, document.Revision(after))) != nil {
+				return
+			}
+			after = uint64(d.Revision())
+		}
+		if controller.Flush() != nil {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-a.clock.After(watchPoll):
+		}
+	}
+}
+
+// EventForm is one line of the watch stream.
+type EventForm struct {
+	Revision   uint64               `json:"revision" yaml:"revision"`
+	Operations []wire.OperationForm `json:"operations" yaml:"operations"`
+}
+
+func eventOf(d *document.Document, after document.Revision) EventForm {
+	event := EventForm{Revision: uint64(d.Revision()), Operations: []wire.OperationForm{}}
+	for _, o := range d.Operations() {
+		if o.Revision() > after {
+			event.Operations = append(event.Operations, wire.ToOperationForm(o))
+		}
+	}
+	return event
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func writeProblem(w http.ResponseWriter, status int, p Problem) { writeJSON(w, status, p) }
+
+func writeError(w http.ResponseWriter, err error) {
+	var conflict *document.ConflictError
+	var invalid *document.InvalidError
+	var tooLarge *wire.TooLargeError
+	var unsettled *UnsettledError
+	var unavailable *store.UnavailableError
+	p := Problem{Error: err.Error()}
+	switch {
+	case errors.As(err, &conflict):
+		writeProblem(w, http.StatusConflict, conflictProblem(conflict))
+	case errors.As(err, &invalid):
+		p.Code, p.Resource, p.Field = "invalid", invalid.Key().String(), invalid.Field()
+		writeProblem(w, http.StatusUnprocessableEntity, p)
+	case errors.As(err, &tooLarge):
+		p.Code = "too-large"
+		writeProblem(w, http.StatusRequestEntityTooLarge, p)
+	case errors.As(err, &unsettled):
+		p.Code = "unsettled"
+		writeProblem(w, http.StatusGatewayTimeout, p)
+	case errors.As(err, &unavailable):
+		p.Code = "store-unavailable"
+		p.Error = "the store cannot be reached, so nothing was changed; the configuration in force stays: " + err.Error()
+		writeProblem(w, http.StatusServiceUnavailable, p)
+	default:
+		p.Code = "failed"
+		writeProblem(w, http.StatusBadRequest, p)
+	}
+}
+
+func conflictProblem(c *document.ConflictError) Problem {
+	p := Problem{Code: "conflict", Error: c.Error(), Expected: uint64(c.Expected()), Actual: uint64(c.Actual())}
+	for _, d := range c.Differing() {
+		p.Differing = append(p.Differing, DifferenceForm{Resource: d.Key().String(), Field: d.Field(), Want: d.Want(), Have: d.Have()})
+	}
+	return p
+}
--- /dev/null
+++ b/lib/operator/forms.go
@@ -0,0 +1,97 @@
+package operator
+
+import (
+	"encoding/json"
+
+	"savorygap.example/lib/wire"
+)
+
+// ChangeForm is the written form of a change.
+type ChangeForm struct {
+	ID       string            `json:"id"`
+	Expected *uint64           `json:"expected,omitempty"`
+	DryRun   bool              `json:"dryRun,omitempty"`
+	Puts     []json.RawMessage `json:"puts,omitempty"`
+	Deletes  []string          `json:"deletes,omitempty"`
+}
+
+// ResultForm is the answer to a change.
+type ResultForm struct {
+	Revision uint64 `json:"revision" yaml:"revision"`
+	DryRun   bool   `json:"dryRun,omitempty" yaml:"dryRun,omitempty"`
+}
+
+// ListForm is the answer to a question for resources.
+type ListForm struct {
+	Revision  uint64            `json:"revision"`
+	Resources []json.RawMessage `json:"resources"`
+}
+
+// Problem is the body of an answer that is not a success.
+type Problem struct {
+	Error     string           `json:"error"`
+	Code      string           `json:"code"`
+	Resource  string           `json:"resource,omitempty"`
+	Field     string           `json:"field,omitempty"`
+	Expected  uint64           `json:"expected,omitempty"`
+	Actual    uint64           `json:"actual,omitempty"`
+	Differing []DifferenceForm `json:"differing,omitempty"`
+}
+
+// DifferenceForm is one field in which a change and the document differ.
+type DifferenceForm struct {
+	Resource string `json:"resource"`
+	Field    string `json:"field"`
+	Want     string `json:"want"`
+	Have     string `json:"have"`
+}
+
+// EffectiveForm is the rules of a branch with the origin of every value.
+type EffectiveForm struct {
+	Branch string              `json:"branch" yaml:"branch"`
+	Rules  []EffectiveRuleForm `json:"rules" yaml:"rules"`
+}
+
+// EffectiveRuleForm is one rule.
+type EffectiveRuleForm struct {
+	Name   string               `json:"name" yaml:"name"`
+	Values []EffectiveValueForm `json:"values" yaml:"values"`
+}
+
+// EffectiveValueForm is one setting.
+type EffectiveValueForm struct {
+	Field  string `json:"field" yaml:"field"`
+	Value  string `json:"value" yaml:"value"`
+	Origin string `json:"origin" yaml:"origin"`
+}
+
+// StatusForm tells how far the newest revision is in force.
+type StatusForm struct {
+	Revision    uint64           `json:"revision" yaml:"revision"`
+	Nodes       int              `json:"nodes" yaml:"nodes"`
+	Settled     int              `json:"settled" yaml:"settled"`
+	Silent      []string         `json:"silent,omitempty" yaml:"silent,omitempty"`
+	Behind      []NodeForm       `json:"behind,omitempty" yaml:"behind,omitempty"`
+	DataCentres []DataCentreForm `json:"dataCentres" yaml:"dataCentres"`
+}
+
+// DataCentreForm is the state of one data centre.
+type DataCentreForm struct {
+	Name    string `json:"name" yaml:"name"`
+	Out     bool   `json:"out" yaml:"out"`
+	Nodes   int    `json:"nodes" yaml:"nodes"`
+	Settled int    `json:"settled" yaml:"settled"`
+	Servers int    `json:"servers" yaml:"servers"`
+}
+
+// NodeForm is the state of one node.
+type NodeForm struct {
+	Name       string `json:"name" yaml:"name"`
+	DataCentre string `json:"dataCentre" yaml:"dataCentre"`
+	Revision   uint64 `json:"revision" yaml:"revision"`
+}
+
+// AuditForm is the trail of changes, newest last.
+type AuditForm struct {
+	Operations []wire.OperationForm `json:"operations" yaml:"operations"`
+}
--- /dev/null
+++ b/lib/socket/socket.go
@@ -0,0 +1,50 @@
+// Package socket inspects idle TCP connections without reading from them.
+//
+// # Usage
+//
+//	if err := socket.Quiet(conn); err != nil { conn.Close() }
+package socket
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+)
+
+// ErrUnexpectedBytes reports bytes that arrived while nothing was asked.
+var ErrUnexpectedBytes = errors.New("unexpected bytes on an idle connection")
+
+// Quiet returns nil when the connection is open and nothing waits to be read.
+// It returns io.EOF when the peer closed it, and ErrUnexpectedBytes when the
+// peer sent something. It consumes nothing and does not block.
+func Quiet(conn net.Conn) error {
+	withSyscall, ok := conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := withSyscall.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var found error
+	err = raw.Read(func(fd uintptr) bool {
+		found = peek(int(fd))
+		return true
+	})
+	return errors.Join(err, found)
+}
+
+func peek(fd int) error {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case errors.Is(err, syscall.EAGAIN):
+		return nil
+	case err != nil:
+		return err
+	case n == 0:
+		return io.EOF
+	}
+	return ErrUnexpectedBytes
+}
--- /dev/null
+++ b/lib/store/follower.go
@@ -0,0 +1,255 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"savorygap.example/lib/document"
+	"savorygap.example/lib/task"
+	"savorygap.example/lib/wire"
+)
+
+const (
+	// ConfigurationKey holds the document.
+	ConfigurationKey = "savorygap/configuration"
+	// ContactPrefix precedes the keys of the contact entries.
+	ContactPrefix = "savorygap/contacts/"
+
+	watchWait      = 30 * time.Second
+	callTimeout    = 5 * time.Second
+	contactTTL     = 60 * time.Second
+	contactRenewal = 20 * time.Second
+	idlePoll       = 5 * time.Minute
+	backoffFirst   = 500 * time.Millisecond
+	backoffMost    = 30 * time.Second
+	jitterShare    = 0.5
+	seedRefresh    = 60 * time.Second
+)
+
+// ContactForm is the written form of a contact entry.
+type ContactForm struct {
+	Name    string `json:"name"`
+	Control string `json:"control"`
+}
+
+// FollowerHooks tell the rest of the node what the store holds.
+type FollowerHooks struct {
+	document func(*document.Document)
+	contacts func([]ContactForm)
+	fault    func(call string, err error)
+}
+
+// NewFollowerHooks returns hooks: document is told every document read,
+// contacts the contact entries, fault every failed call.
+func NewFollowerHooks(doc func(*document.Document), contacts func([]ContactForm), fault func(string, error)) FollowerHooks {
+	return FollowerHooks{document: doc, contacts: contacts, fault: fault}
+}
+
+// Follower is the pair of tasks that read the configuration from the store and
+// keep this node's contact entry there, as far as that is its duty.
+type Follower struct {
+	client  *Client
+	clock   clockwork.Clock
+	rng     *rand.Rand
+	self    ContactForm
+	place   string
+	hooks   FollowerHooks
+	watch   *task.Latest[bool]
+	contact *task.Latest[bool]
+}
+
+// NewFollower returns a follower for the node self in a data centre.
+func NewFollower(client *Client, clock clockwork.Clock, rng *rand.Rand, self ContactForm, dataCentre string, hooks FollowerHooks) *Follower {
+	return &Follower{
+		client: client, clock: clock, rng: rng, self: self, place: dataCentre, hooks: hooks,
+		watch: task.NewLatest[bool](), contact: task.NewLatest[bool](),
+	}
+}
+
+// SetDuty states whether this node watches the configuration and whether it
+// keeps a contact entry. It has one caller at a time.
+func (f *Follower) SetDuty(watch, contact bool) {
+	f.watch.Put(watch)
+	f.contact.Put(contact)
+}
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		f.keepContact(ctx, rand.New(rand.NewPCG(f.rng.Uint64(), 1)))
+	}()
+	f.followConfiguration(ctx, rand.New(rand.NewPCG(f.rng.Uint64(), 2)))
+	<-done
+}
+
+// followConfiguration reads the document once, then watches it while that is
+// this node's duty, and otherwise reads it now and then.
+func (f *Follower) followConfiguration(ctx context.Context, rng *rand.Rand) {
+	after, failures, duty, read := Version(0), 0, false, false
+	for ctx.Err() == nil {
+		select {
+		case duty = <-f.watch.Values():
+		default:
+		}
+		entry, err := f.readConfiguration(ctx, duty && read, after)
+		if err != nil {
+			f.hooks.fault("configuration", err)
+			failures++
+			f.pause(ctx, backoff(rng, failures), &duty)
+			continue
+		}
+		failures, read = 0, true
+		if entry.Version() > after || entry.Version() == 0 {
+			after = entry.Version()
+			f.deliver(entry)
+		}
+		if !duty {
+			f.pause(ctx, jittered(rng, idlePoll), &duty)
+		}
+	}
+}
+
+func (f *Follower) readConfiguration(ctx context.Context, watch bool, after Version) (Entry, error) {
+	if watch {
+		ctx, cancel := context.WithTimeout(ctx, watchWait+callTimeout)
+		defer cancel()
+		return f.client.Watch(ctx, ConfigurationKey, after, watchWait)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	return f.client.Get(ctx, ConfigurationKey)
+}
+
+func (f *Follower) deliver(e Entry) {
+	if len(e.Value()) == 0 {
+		f.hooks.document(document.Empty())
+		return
+	}
+	d, err := wire.DecodeDocument(e.Value())
+	if err != nil {
+		f.hooks.fault("configuration", err)
+		return
+	}
+	f.hooks.document(d)
+}
+
+// pause waits, but no longer than until the duty changes.
+func (f *Follower) pause(ctx context.Context, d time.Duration, duty *bool) {
+	select {
+	case <-ctx.Done():
+	case <-f.clock.After(d):
+	case *duty = <-f.watch.Values():
+	}
+}
+
+func backoff(rng *rand.Rand, failures int) time.Duration {
+	return jittered(rng, min(backoffFirst<<min(failures, 8), backoffMost))
+}
+
+// jittered spreads a delay evenly around d, so that nodes do not act at once.
+func jittered(rng *rand.Rand, d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - jitterShare/2 + jitterShare*rng.Float64()))
+}
+
+// keepContact lists the contacts, and keeps an entry under a lease while that
+// is this node's duty.
+func (f *Follower) keepContact(ctx context.Context, rng *rand.Rand) {
+	var lease LeaseID
+	duty, listed, failures := false, time.Time{}, 0
+	for ctx.Err() == nil {
+		select {
+		case duty = <-f.contact.Values():
+		default:
+		}
+		err := f.contactOnce(ctx, duty, &lease, &listed)
+		wait := jittered(rng, contactRenewal)
+		if err != nil {
+			failures++
+			f.hooks.fault("contact", err)
+			wait = backoff(rng, failures)
+		} else {
+			failures = 0
+		}
+		select {
+		case <-ctx.Done():
+		case <-f.clock.After(wait):
+		case duty = <-f.contact.Values():
+		}
+	}
+	f.dropContact(lease)
+}
+
+func (f *Follower) contactOnce(ctx context.Context, duty bool, lease *LeaseID, listed *time.Time) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if f.clock.Now().Sub(*listed) >= seedRefresh && (listed.IsZero() || duty) {
+		if err := f.listContacts(ctx); err != nil {
+			return err
+		}
+		*listed = f.clock.Now()
+	}
+	if !duty {
+		return nil
+	}
+	if *lease != "" {
+		err := f.client.Renew(ctx, *lease)
+		var lapsed *LapsedError
+		if !errors.As(err, &lapsed) {
+			return err
+		}
+	}
+	return f.writeContact(ctx, lease)
+}
+
+func (f *Follower) listContacts(ctx context.Context) error {
+	entries, err := f.client.List(ctx, ContactPrefix)
+	if err != nil {
+		return err
+	}
+	contacts := make([]ContactForm, 0, len(entries))
+	for _, e := range entries {
+		var c ContactForm
+		if json.Unmarshal(e.Value(), &c) == nil && c.Name != "" && c.Name != f.self.Name {
+			contacts = append(contacts, c)
+		}
+	}
+	f.hooks.contacts(contacts)
+	return nil
+}
+
+func (f *Follower) writeContact(ctx context.Context, lease *LeaseID) error {
+	id, err := f.client.Grant(ctx, contactTTL)
+	if err != nil {
+		return err
+	}
+	key := ContactPrefix + f.place + "/" + f.self.Name
+	current, err := f.client.Get(ctx, key)
+	if err != nil {
+		return err
+	}
+	value, err := json.Marshal(f.self)
+	if err != nil {
+		return err
+	}
+	if _, err := f.client.Swap(ctx, NewWrite(key, value).Expecting(current.Version()).Under(id)); err != nil {
+		return err
+	}
+	*lease = id
+	return nil
+}
+
+func (f *Follower) dropContact(lease LeaseID) {
+	if lease == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_ = f.client.Revoke(ctx, lease)
+}
--- /dev/null
+++ b/savorygap-bench/internal/fleet/operate.go
@@ -0,0 +1,191 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"savorygap.example/lib/document"
+	"savorygap.example/lib/operator"
+)
+
+// Operator returns a client of the resource API of a host.
+func (f *Fleet) Operator(h *Host) *operator.Client {
+	transport := &http.Transport{TLSClientConfig: f.ring.Client(h.name, "http/1.1")}
+	return operator.NewClient("https://"+h.Operators(), &http.Client{Transport: transport})
+}
+
+// Apply writes resources through the first host and returns the revision.
+func (f *Fleet) Apply(ctx context.Context, resources ...document.Resource) (uint64, error) {
+	change := document.NewChange(uuid.NewString(), "", time.Time{}, resources, nil)
+	result, err := f.Operator(f.hosts[0]).Apply(ctx, change, nil, false)
+	return result.Revision, err
+}
+
+// AwaitRevision waits until every node has the revision in force, and returns
+// how long that took.
+func (f *Fleet) AwaitRevision(ctx context.Context, revision uint64, limit time.Duration) (time.Duration, error) {
+	started := time.Now()
+	for _, h := range f.hosts {
+		for {
+			d, err := h.Dump(ctx)
+			if err == nil && d.Revision() >= revision {
+				break
+			}
+			if time.Since(started) > limit {
+				return 0, fmt.Errorf("node %q has revision %d after %s, %d is wanted", h.name, d.Revision(), limit, revision)
+			}
+			time.Sleep(readyPoll / 5)
+		}
+	}
+	return time.Since(started), nil
+}
+
+// AwaitTargets waits until every node knows the given number of targets.
+func (f *Fleet) AwaitTargets(ctx context.Context, targets int, limit time.Duration) error {
+	until := time.Now().Add(limit)
+	for _, h := range f.hosts {
+		for {
+			d, err := h.Dump(ctx)
+			if err == nil && len(d.form.Targets) >= targets {
+				break
+			}
+			if time.Now().After(until) {
+				return fmt.Errorf("node %q knows %d targets after %s, %d are wanted", h.name, len(d.form.Targets), limit, targets)
+			}
+			time.Sleep(readyPoll)
+		}
+	}
+	return nil
+}
+
+// Dump is the part of a node's state dump that the bench reads.
+type Dump struct {
+	form dumpForm
+}
+
+type dumpForm struct {
+	Goroutines    int    `json:"goroutines"`
+	HeapBytes     uint64 `json:"heapBytes"`
+	Configuration struct {
+		Revision uint64 `json:"revision"`
+	} `json:"configuration"`
+	Control struct {
+		Links         []string `json:"links"`
+		SentBytes     uint64   `json:"sentBytes"`
+		ReceivedBytes uint64   `json:"receivedBytes"`
+		Suspected     uint64   `json:"suspected"`
+		Refuted       uint64   `json:"refuted"`
+	} `json:"control"`
+	Members []struct {
+		Name  string `json:"name"`
+		State string `json:"state"`
+	} `json:"members"`
+	Servers []struct {
+		State    string            `json:"state"`
+		Limit    int               `json:"limit"`
+		InFlight int               `json:"inFlight"`
+		Granted  uint64            `json:"granted"`
+		Refused  map[string]uint64 `json:"refused"`
+		Breaches int               `json:"breaches"`
+	} `json:"servers"`
+	Targets []struct {
+		Node   string `json:"node"`
+		Closed bool   `json:"closed"`
+	} `json:"targets"`
+	Budgets []struct {
+		Retried uint64 `json:"retried"`
+		Hedged  uint64 `json:"hedged"`
+		Denied  uint64 `json:"denied"`
+	} `json:"budgets"`
+}
+
+// Revision returns the revision in force.
+func (d Dump) Revision() uint64 { return d.form.Configuration.Revision }
+
+// ControlBytes returns the bytes of control messages sent and received.
+func (d Dump) ControlBytes() (uint64, uint64) {
+	return d.form.Control.SentBytes, d.form.Control.ReceivedBytes
+}
+
+// Suspicions returns how often the node suspected another.
+func (d Dump) Suspicions() uint64 { return d.form.Control.Suspected }
+
+// Links returns the number of linked neighbours.
+func (d Dump) Links() int { return len(d.form.Control.Links) }
+
+// Goroutines returns the number of goroutines.
+func (d Dump) Goroutines() int { return d.form.Goroutines }
+
+// HeapBytes returns the bytes of live heap.
+func (d Dump) HeapBytes() uint64 { return d.form.HeapBytes }
+
+// MemberState returns the state of a node in this node's view.
+func (d Dump) MemberState(name string) string {
+	for _, m := range d.form.Members {
+		if m.Name == name {
+			return m.State
+		}
+	}
+	return ""
+}
+
+// Targets returns the number of targets that the node knows.
+func (d Dump) Targets() int { return len(d.form.Targets) }
+
+// Breaches returns how often an invariant did not hold.
+func (d Dump) Breaches() int {
+	n := 0
+	for _, s := range d.form.Servers {
+		n += s.Breaches
+	}
+	return n
+}
+
+// Refused returns how many requests the node's servers refused, by reason.
+func (d Dump) Refused() map[string]uint64 {
+	out := map[string]uint64{}
+	for _, s := range d.form.Servers {
+		for reason, n := range s.Refused {
+			out[reason] += n
+		}
+	}
+	return out
+}
+
+// Granted returns how many requests the node's servers were given.
+func (d Dump) Granted() uint64 {
+	var n uint64
+	for _, s := range d.form.Servers {
+		n += s.Granted
+	}
+	return n
+}
+
+// Retried returns how many retries and hedges the node made.
+func (d Dump) Retried() (retried, hedged uint64) {
+	for _, b := range d.form.Budgets {
+		retried += b.Retried
+		hedged += b.Hedged
+	}
+	return retried, hedged
+}
+
+// Dump reads the state dump of the host's node.
+func (h *Host) Dump(ctx context.Context) (Dump, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.Local()+"/dump", nil)
+	if err != nil {
+		return Dump{}, err
+	}
+	response, err := h.fleet.http.Do(request)
+	if err != nil {
+		return Dump{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var d Dump
+	return d, json.NewDecoder(response.Body).Decode(&d.form)
+}
--- /dev/null
+++ b/savorygap/cmd/keys.go
@@ -0,0 +1,96 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"savorygap.example/lib/keys"
+)
+
+const (
+	authorityValid = 10 * 365 * 24 * time.Hour
+	holderValid    = 365 * 24 * time.Hour
+)
+
+func keysCommand(s streams) *cli.Command {
+	var dir string
+	where := &cli.StringFlag{Name: "dir", Usage: "folder with the keys", Value: "keys", Destination: &dir}
+	return &cli.Command{
+		Name: "keys", Usage: "make authorities and certificates",
+		Commands: []*cli.Command{
+			{
+				Name: "authority", Usage: "make an authority", Flags: []cli.Flag{where},
+				Action: func(context.Context, *cli.Command) error { return makeAuthority(s, dir) },
+			},
+			issueCommand(s, where, &dir),
+		},
+	}
+}
+
+func makeAuthority(s streams, dir string) error {
+	a, err := keys.NewAuthority(time.Now(), authorityValid)
+	if err != nil {
+		return err
+	}
+	if err := a.Save(dir); err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(s.out, "wrote %s/ca.pem and %s/ca-key.pem\n", dir, dir)
+	return err
+}
+
+func issueCommand(s streams, where cli.Flag, dir *string) *cli.Command {
+	var role string
+	var addresses []string
+	return &cli.Command{
+		Name: "issue", Usage: "issue a certificate for a host or an operator", ArgsUsage: "NAME ...",
+		Flags: []cli.Flag{
+			where,
+			&cli.StringFlag{Name: "role", Usage: "node, operate or read", Value: string(keys.RoleNode), Destination: &role},
+			&cli.StringSliceFlag{Name: "address", Usage: "IP address of the holder", Destination: &addresses},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			return issue(s, *dir, keys.Role(role), addresses, c.Args().Slice())
+		},
+	}
+}
+
+func issue(s streams, dir string, role keys.Role, addresses, names []string) error {
+	if role != keys.RoleNode && role != keys.RoleOperate && role != keys.RoleRead {
+		return &usageError{message: fmt.Sprintf("role %q is unknown; node, operate or read is wanted", role)}
+	}
+	if len(names) == 0 {
+		return &usageError{message: "name at least one holder"}
+	}
+	a, err := keys.LoadAuthority(dir)
+	if err != nil {
+		return fmt.Errorf("load the authority (make it with \"savorygap keys authority\"): %w", err)
+	}
+	ips, err := parseAddresses(addresses)
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		if err := a.Issue(dir, name, role, ips, time.Now(), holderValid); err != nil {
+			return err
+		}
+		fmt.Fprintf(s.out, "wrote %s/%s.pem and %s/%s-key.pem for role %s\n", dir, name, dir, name, role)
+	}
+	return nil
+}
+
+func parseAddresses(texts []string) ([]net.IP, error) {
+	ips := make([]net.IP, 0, len(texts))
+	for _, text := range texts {
+		ip := net.ParseIP(text)
+		if ip == nil {
+			return nil, &usageError{message: fmt.Sprintf("address %q is not an IP address", text)}
+		}
+		ips = append(ips, ip)
+	}
+	return ips, nil
+}
--- /dev/null
+++ b/savorygap/cmd/status.go
@@ -0,0 +1,71 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"text/tabwriter"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"savorygap.example/lib/operator"
+)
+
+const settlePoll = 250 * time.Millisecond
+
+func statusCommand(o *options, s streams) *cli.Command {
+	return &cli.Command{
+		Name: "status", Usage: "show how far the newest revision is in force",
+		Action: func(ctx context.Context, _ *cli.Command) error {
+			client, err := o.client()
+			if err != nil {
+				return err
+			}
+			form, err := client.Status(ctx)
+			if err != nil {
+				return err
+			}
+			if o.output != "table" {
+				return printForm(s.out, o.output, form)
+			}
+			return tableOfStatus(s.out, form)
+		},
+	}
+}
+
+func tableOfStatus(w io.Writer, f operator.StatusForm) error {
+	fmt.Fprintf(w, "revision %d in force at %d of %d nodes\n", f.Revision, f.Settled, f.Nodes)
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "DATA CENTRE\tSTATE\tNODES\tSETTLED\tSERVERS")
+	for _, d := range f.DataCentres {
+		state := "in"
+		if d.Out {
+			state = "OUT"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%d\n", d.Name, state, d.Nodes, d.Settled, d.Servers)
+	}
+	for _, n := range f.Behind {
+		fmt.Fprintf(t, "%s\tbehind: %s at revision %d\t\t\t\n", n.DataCentre, n.Name, n.Revision)
+	}
+	for _, name := range f.Silent {
+		fmt.Fprintf(t, "\tno answer: %s\t\t\t\n", name)
+	}
+	return t.Flush()
+}
+
+// awaitSettled polls the status until every node has the revision in force.
+func awaitSettled(ctx context.Context, client *operator.Client, s streams, revision uint64, limit time.Duration) error {
+	started := time.Now()
+	for {
+		form, err := client.Status(ctx)
+		if err == nil && form.Revision >= revision && form.Settled == form.Nodes {
+			_, err = fmt.Fprintf(s.out, "in force at all %d nodes\n", form.Nodes)
+			return err
+		}
+		if time.Since(started) > limit {
+			return fmt.Errorf("revision %d is in force at %d of %d nodes after %s", revision, form.Settled, form.Nodes, limit)
+		}
+		time.Sleep(settlePoll)
+	}
+}
--- /dev/null
+++ b/savorygapd/cmd/check.go
@@ -0,0 +1,25 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/urfave/cli/v3"
+)
+
+func checkCommand(stdout io.Writer) *cli.Command {
+	o := &options{}
+	return &cli.Command{
+		Name:  "check",
+		Usage: "check a settings file and say what is wrong with it",
+		Flags: o.flags(),
+		Action: func(context.Context, *cli.Command) error {
+			if _, err := o.load(); err != nil {
+				return err
+			}
+			_, err := fmt.Fprintf(stdout, "%s: settings are sound\n", o.file)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/savorygapd/internal/local/local.go
@@ -0,0 +1,77 @@
+// Package local serves this host: announcements of servers, health, metrics
+// and the state dump.
+package local
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"savorygap.example/lib/server"
+	"savorygap.example/savorygapd/internal/process"
+	"savorygap.example/savorygapd/internal/settings"
+	"savorygap.example/savorygapd/internal/statedump"
+)
+
+const (
+	headerTime  = 5 * time.Second
+	dumpTimeout = 5 * time.Second
+)
+
+// String names the step.
+func String() string { return "local" }
+
+// Default fills the settings; the addresses belong to the step callers.
+func Default(*settings.Tree) {}
+
+// Run starts the listener, which has no TLS and belongs on a loopback address.
+func Run(p *process.Process) error {
+	listener, err := net.Listen("tcp", p.Settings().Listen().Local())
+	if err != nil {
+		return err
+	}
+	if err := p.Metrics().Register(newCollector(p)); err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/v1/servers", server.Handler(p.Registry()))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(p.Metrics(), promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) { ready(w, p) })
+	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, r *http.Request) { dump(w, r, p) })
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: headerTime}
+	p.Go(func(ctx context.Context) {
+		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
+		defer stop()
+		if err := s.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			_ = level.Error(p.Logger()).Log("event", "local", "error", err)
+		}
+	})
+	return nil
+}
+
+func ready(w http.ResponseWriter, p *process.Process) {
+	if p.Ready() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	http.Error(w, "the node is starting or draining", http.StatusServiceUnavailable)
+}
+
+func dump(w http.ResponseWriter, r *http.Request, p *process.Process) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(statedump.Take(r.Context(), p))
+}
+
+// LogDump writes the state dump to the log.
+func LogDump(p *process.Process) {
+	ctx, cancel := context.WithTimeout(p.Context(), dumpTimeout)
+	defer cancel()
+	_ = level.Info(p.Logger()).Log("event", "state dump", "state", statedump.Take(ctx, p))
+}
--- /dev/null
+++ b/savorygapd/internal/operators/operators.go
@@ -0,0 +1,53 @@
+// Package operators serves the resource API.
+package operators
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"savorygap.example/lib/document"
+	"savorygap.example/lib/keys"
+	"savorygap.example/lib/operator"
+	"savorygap.example/savorygapd/internal/process"
+	"savorygap.example/savorygapd/internal/settings"
+)
+
+const headerTime = 5 * time.Second
+
+// String names the step.
+func String() string { return "operators" }
+
+// Default fills the settings; the addresses belong to the step callers.
+func Default(*settings.Tree) {}
+
+// Run starts the listener. Only certificates of operators are accepted.
+func Run(p *process.Process) error {
+	listener, err := net.Listen("tcp", p.Settings().Listen().Operators())
+	if err != nil {
+		return err
+	}
+	service := operator.NewService(p.Store(), p.Clock(), p.Control().Accept)
+	log := func(author, id string, revision document.Revision, err error) {
+		_ = level.Info(p.Logger()).Log("event", "change", "author", author, "id", id, "revision", revision, "error", err)
+	}
+	api := operator.NewAPI(service, p.Clock(), p.Control().Current, func(ctx context.Context) operator.StatusForm { return takeCensus(ctx, p) }, log)
+	server := &http.Server{
+		Handler: api.Handler(), ReadHeaderTimeout: headerTime,
+		TLSConfig: p.Ring().Server([]keys.Role{keys.RoleOperate, keys.RoleRead}, "http/1.1"),
+	}
+	p.Go(api.Run)
+	p.OnDrain(func(ctx context.Context) { _ = server.Shutdown(ctx) })
+	p.Go(func(ctx context.Context) {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		if err := server.ServeTLS(listener, "", ""); !errors.Is(err, http.ErrServerClosed) {
+			_ = level.Error(p.Logger()).Log("event", "operators", "error", err)
+		}
+	})
+	return nil
+}
--- /dev/null
+++ b/savorygapd/internal/settings/defaults.go
@@ -0,0 +1,59 @@
+package settings
+
+import "time"
+
+// SetListen sets the addresses that are not set yet.
+func (t *Tree) SetListen(callers, calls, control, local, operators string) {
+	DefaultText(&t.listen.callers, callers)
+	DefaultText(&t.listen.calls, calls)
+	DefaultText(&t.listen.control, control)
+	DefaultText(&t.listen.local, local)
+	DefaultText(&t.listen.operators, operators)
+	DefaultText(&t.advertise.calls, t.listen.calls)
+	DefaultText(&t.advertise.control, t.listen.control)
+}
+
+// SetStoreBudget sets the budget of calls to the store where it is not set.
+func (t *Tree) SetStoreBudget(reads, writes float64, burst int) {
+	if t.store.reads == 0 {
+		t.store.reads = reads
+	}
+	if t.store.writes == 0 {
+		t.store.writes = writes
+	}
+	if t.store.burst == 0 {
+		t.store.burst = burst
+	}
+}
+
+// SetPolicy sets the policy that chooses targets, if it is not set.
+func (t *Tree) SetPolicy(name string) { DefaultText(&t.policy, name) }
+
+// SetTransport sets what carries calls, if it is not set.
+func (t *Tree) SetTransport(name string) { DefaultText(&t.transport, name) }
+
+// SetLogLevel sets the least level that is logged, if it is not set.
+func (t *Tree) SetLogLevel(level string) { DefaultText(&t.logLevel, level) }
+
+// SetDrain sets how the process stops, where it is not set.
+func (t *Tree) SetDrain(linger, timeout time.Duration) {
+	if t.drain.linger == 0 {
+		t.drain.linger = linger
+	}
+	if t.drain.timeout == 0 {
+		t.drain.timeout = timeout
+	}
+}
+
+// SetBounds sets the limits on what callers send, where they are not set.
+func (t *Tree) SetBounds(headerBytes int, headerTime time.Duration, connections int) {
+	if t.bounds.headerBytes == 0 {
+		t.bounds.headerBytes = headerBytes
+	}
+	if t.bounds.headerTime == 0 {
+		t.bounds.headerTime = headerTime
+	}
+	if t.bounds.connections == 0 {
+		t.bounds.connections = connections
+	}
+}
--- /dev/null
+++ b/savorygapd/main.go
@@ -0,0 +1,12 @@
+// Command savorygapd is the node process that runs beside every server.
+package main
+
+import (
+	"os"
+
+	"savorygap.example/savorygapd/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Execute(os.Args, os.Stdout, os.Stderr))
+}
