feat: run the whole path as real processes with a demo

Cause: the path must run from end to end before anything is thickened. Change: the bench builds the node, starts six real node processes in two data centres with stand-in store and servers, applies the Board's configuration and sends load through a data centre's leave and return and a node's drain, with every request accounted for at caller and server. A node without peers lists the contacts again until it finds one; before, the first nodes to start stayed alone.

--- a/lib/gossip/control.go
+++ b/lib/gossip/control.go
@@ -50,6 +50,7 @@
 type Duty struct {
 	watch   bool
 	contact bool
+	alone   bool
 }
 
 // Watch reports whether the node watches the configuration in the store.
@@ -58,6 +59,9 @@
 // Contact reports whether the node keeps a contact entry in the store.
 func (d Duty) Contact() bool { return d.contact }
 
+// Alone reports whether the node has no link, so that it looks for contacts.
+func (d Duty) Alone() bool { return d.alone }
+
 // Contact is where a node can be reached by one that joins.
 type Contact struct {
 	name    string
@@ -406,6 +410,7 @@
 	duty := Duty{
 		watch:   contains(c.table.Chosen("watch", self.DataCentre(), watchersPerDC), self.Name()),
 		contact: contains(c.table.Chosen("contact", self.DataCentre(), contactsPerDC), self.Name()),
+		alone:   len(c.links) == 0,
 	}
 	if duty != c.duty {
 		c.duty = duty
--- a/lib/store/follower.go
+++ b/lib/store/follower.go
@@ -29,6 +29,8 @@
 	backoffMost    = 30 * time.Second
 	jitterShare    = 0.5
 	seedRefresh    = 60 * time.Second
+	aloneFirst     = time.Second
+	aloneMost      = 20 * time.Second
 )
 
 // ContactForm is the written form of a contact entry.
@@ -60,22 +62,29 @@
 	place   string
 	hooks   FollowerHooks
 	watch   *task.Latest[bool]
-	contact *task.Latest[bool]
+	contact *task.Latest[contactDuty]
 }
 
 // NewFollower returns a follower for the node self in a data centre.
 func NewFollower(client *Client, clock clockwork.Clock, rng *rand.Rand, self ContactForm, dataCentre string, hooks FollowerHooks) *Follower {
 	return &Follower{
 		client: client, clock: clock, rng: rng, self: self, place: dataCentre, hooks: hooks,
-		watch: task.NewLatest[bool](), contact: task.NewLatest[bool](),
+		watch: task.NewLatest[bool](), contact: task.NewLatest[contactDuty](),
 	}
 }
 
-// SetDuty states whether this node watches the configuration and whether it
-// keeps a contact entry. It has one caller at a time.
-func (f *Follower) SetDuty(watch, contact bool) {
+// contactDuty says what a node does about contact entries.
+type contactDuty struct {
+	keep  bool
+	alone bool
+}
+
+// SetDuty states whether this node watches the configuration, whether it keeps
+// a contact entry, and whether it has no peer and so looks for contacts. It has
+// one caller at a time.
+func (f *Follower) SetDuty(watch, contact, alone bool) {
 	f.watch.Put(watch)
-	f.contact.Put(contact)
+	f.contact.Put(contactDuty{keep: contact, alone: alone})
 }
 
 // Run follows the store until ctx ends.
@@ -158,54 +167,81 @@
 	return time.Duration(float64(d) * (1 - jitterShare/2 + jitterShare*rng.Float64()))
 }
 
+// contactState is the state of the task that keeps the contact entry.
+type contactState struct {
+	duty     contactDuty
+	lease    LeaseID
+	listed   time.Time
+	lonely   int
+	failures int
+}
+
 // keepContact lists the contacts, and keeps an entry under a lease while that
-// is this node's duty.
+// is this node's duty. A node without peers lists more often.
 func (f *Follower) keepContact(ctx context.Context, rng *rand.Rand) {
-	var lease LeaseID
-	duty, listed, failures := false, time.Time{}, 0
+	s := &contactState{duty: contactDuty{alone: true}}
 	for ctx.Err() == nil {
 		select {
-		case duty = <-f.contact.Values():
+		case s.duty = <-f.contact.Values():
 		default:
 		}
-		err := f.contactOnce(ctx, duty, &lease, &listed)
-		wait := jittered(rng, contactRenewal)
-		if err != nil {
-			failures++
-			f.hooks.fault("contact", err)
-			wait = backoff(rng, failures)
-		} else {
-			failures = 0
-		}
+		wait := f.contactOnce(ctx, rng, s)
 		select {
 		case <-ctx.Done():
 		case <-f.clock.After(wait):
-		case duty = <-f.contact.Values():
+		case s.duty = <-f.contact.Values():
 		}
 	}
-	f.dropContact(lease)
+	f.dropContact(s.lease)
+}
+
+// contactOnce does what is due and returns how long to wait.
+func (f *Follower) contactOnce(ctx context.Context, rng *rand.Rand, s *contactState) time.Duration {
+	if err := f.contactCalls(ctx, s); err != nil {
+		s.failures++
+		f.hooks.fault("contact", err)
+		return backoff(rng, s.failures)
+	}
+	s.failures = 0
+	if s.duty.alone {
+		s.lonely++
+		return jittered(rng, min(aloneFirst<<min(s.lonely, 8), aloneMost))
+	}
+	s.lonely = 0
+	return jittered(rng, contactRenewal)
 }
 
-func (f *Follower) contactOnce(ctx context.Context, duty bool, lease *LeaseID, listed *time.Time) error {
+func (f *Follower) contactCalls(ctx context.Context, s *contactState) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if f.clock.Now().Sub(*listed) >= seedRefresh && (listed.IsZero() || duty) {
-		if err := f.listContacts(ctx); err != nil {
+	if s.duty.keep {
+		if err := f.holdEntry(ctx, s); err != nil {
 			return err
 		}
-		*listed = f.clock.Now()
 	}
-	if !duty {
+	due := f.clock.Now().Sub(s.listed) >= seedRefresh && s.duty.keep
+	if !due && !s.duty.alone && !s.listed.IsZero() {
 		return nil
 	}
-	if *lease != "" {
-		err := f.client.Renew(ctx, *lease)
+	if err := f.listContacts(ctx); err != nil {
+		return err
+	}
+	s.listed = f.clock.Now()
+	return nil
+}
+
+// holdEntry renews the lease of the contact entry, or writes the entry anew
+// when the lease lapsed.
+func (f *Follower) holdEntry(ctx context.Context, s *contactState) error {
+	if s.lease != "" {
+		err := f.client.Renew(ctx, s.lease)
 		var lapsed *LapsedError
 		if !errors.As(err, &lapsed) {
 			return err
 		}
+		s.lease = ""
 	}
-	return f.writeContact(ctx, lease)
+	return f.writeContact(ctx, &s.lease)
 }
 
 func (f *Follower) listContacts(ctx context.Context) error {
--- /dev/null
+++ b/savorygap-bench/cmd/root.go
@@ -0,0 +1,35 @@
+// Package cmd holds the commands of the bench, one file each.
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFailed = 1
+)
+
+// Execute runs the command line and returns the exit code.
+func Execute(args []string, stdout, stderr io.Writer) int {
+	app := &cli.Command{
+		Name: "savorygap-bench", Usage: "stand-ins, load and experiments against real nodes on loopback",
+		Writer: stdout, ErrWriter: stderr, EnableShellCompletion: true,
+		Commands:       []*cli.Command{demoCommand(stdout), storeCommand(stdout), serverCommand(stdout)},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	if err := app.Run(ctx, args); err != nil {
+		fmt.Fprintf(stderr, "savorygap-bench: %v\n", err)
+		return exitFailed
+	}
+	return exitOK
+}
--- /dev/null
+++ b/savorygap-bench/internal/demo/demo.go
@@ -0,0 +1,214 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"savorygap.example/lib/document"
+	"savorygap.example/savorygap-bench/internal/fleet"
+	"savorygap.example/savorygap-bench/internal/load"
+	"savorygap.example/savorygap-bench/internal/standin"
+)
+
+const (
+	subnet       = 10
+	region       = "mu-north"
+	boardHost    = "board.example"
+	readyLimit   = 20 * time.Second
+	settleLimit  = 5 * time.Second
+	phaseLength  = 3 * time.Second
+	rate         = 300 // requests a second
+	serviceTime  = 8 * time.Millisecond
+	slots        = 12
+	keySettle    = 6 * time.Second
+	outMoment    = 3 * time.Second
+	drainedLimit = 40 * time.Second
+)
+
+// phase is a stretch of load under one condition.
+type phase struct {
+	name   string
+	before func(ctx context.Context, f *fleet.Fleet) error
+	after  func(ctx context.Context, f *fleet.Fleet) error
+}
+
+// Run starts six nodes in two data centres, applies the sample configuration,
+// sends load through a data centre's leave and return and a node's drain, and
+// prints a table. It returns an error when something happened that must not.
+func Run(ctx context.Context, w io.Writer) error {
+	f, err := fleet.Start(ctx, fleet.NewPlan(subnet, hosts()))
+	if err != nil {
+		return err
+	}
+	defer f.Stop()
+	if err := prepare(ctx, w, f); err != nil {
+		return err
+	}
+	var samples []load.Sample
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "PHASE\tSENT\tANSWERED\tNOT RUN\tUNKNOWN\tCUT\tP50\tP99")
+	for i, p := range phases() {
+		if err := runPhase(ctx, t, f, p, uint64(i+1), &samples); err != nil {
+			return err
+		}
+	}
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return verify(ctx, w, f, samples)
+}
+
+func hosts() []fleet.HostPlan {
+	shape := standin.NewShape(slots, serviceTime).Cold(time.Second)
+	var plans []fleet.HostPlan
+	for _, dataCentre := range []string{"pamplemousses", "port-louis"} {
+		for _, service := range []string{"logview", "findings", "sensorhub"} {
+			plans = append(plans, fleet.NewHostPlan(dataCentre, region, service, shape))
+		}
+	}
+	return plans
+}
+
+func prepare(ctx context.Context, w io.Writer, f *fleet.Fleet) error {
+	if err := f.AwaitReady(readyLimit); err != nil {
+		return err
+	}
+	resources, err := Board()
+	if err != nil {
+		return err
+	}
+	revision, err := f.Apply(ctx, resources...)
+	if err != nil {
+		return err
+	}
+	took, err := f.AwaitRevision(ctx, revision, settleLimit)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "%d nodes run; revision %d is in force everywhere after %s\n", len(f.Hosts()), revision, took.Round(time.Millisecond))
+	if err := f.AwaitTargets(ctx, len(f.Hosts()), settleLimit); err != nil {
+		return err
+	}
+	time.Sleep(keySettle)
+	return nil
+}
+
+func flows() []load.Flow {
+	return []load.Flow{
+		load.NewFlow("logs", 6, boardHost, http.MethodGet, "/logview/today"),
+		load.NewFlow("spoilage", 1, boardHost, http.MethodGet, "/sensorhub/spoilage/7"),
+		load.NewFlow("findings", 1, boardHost, http.MethodPost, "/findings/new").WithBodies(300, 100).Keyed(),
+		load.NewFlow("archive", 0.3, boardHost, http.MethodPost, "/sensorhub/archive").WithBodies(200_000, 64).WithTimeout(10 * time.Second),
+		load.NewFlow("lookups", 1, boardHost, http.MethodGet, "/logview/background/x").WithWork(2),
+	}
+}
+
+func phases() []phase {
+	return []phase{
+		{name: "warming up"},
+		{name: "steady"},
+		{name: "port-louis leaves", before: move("port-louis", true)},
+		{name: "port-louis is out"},
+		{name: "port-louis returns", before: move("port-louis", false)},
+		{name: "host-2's node drains", before: drain, after: restart},
+		{name: "steady again"},
+	}
+}
+
+func move(name string, out bool) func(context.Context, *fleet.Fleet) error {
+	return func(ctx context.Context, f *fleet.Fleet) error {
+		go func() {
+			time.Sleep(phaseLength / 3)
+			_, _ = f.Apply(ctx, document.DataCentreResource(document.NewDataCentre(name, region, out)))
+		}()
+		return nil
+	}
+}
+
+func drain(_ context.Context, f *fleet.Fleet) error {
+	go func() {
+		time.Sleep(phaseLength / 3)
+		_ = f.Hosts()[1].Signal(syscall.SIGTERM)
+	}()
+	return nil
+}
+
+func restart(_ context.Context, f *fleet.Fleet) error {
+	if err := f.Hosts()[1].AwaitEnd(drainedLimit); err != nil {
+		return err
+	}
+	if err := f.Hosts()[1].StartNode(); err != nil {
+		return err
+	}
+	return f.AwaitReady(readyLimit)
+}
+
+// callersOf returns the nodes that callers use: not the one that drains.
+func callersOf(f *fleet.Fleet) []string {
+	var out []string
+	for i, h := range f.Hosts() {
+		if i != 1 {
+			out = append(out, h.Callers())
+		}
+	}
+	return out
+}
+
+func runPhase(ctx context.Context, w io.Writer, f *fleet.Fleet, p phase, seed uint64, samples *[]load.Sample) error {
+	if p.before != nil {
+		if err := p.before(ctx, f); err != nil {
+			return err
+		}
+	}
+	r := load.Run(ctx, f.Client(), load.NewPlan(rate, phaseLength, seed, flows(), callersOf(f)).Bursty(0.5))
+	*samples = append(*samples, r.Samples()...)
+	fmt.Fprintf(w, "%s\t%d\t%d\t%d\t%d\t%d\t%s\t%s\n", p.name, r.Sent(), r.Count("answered"), r.Count("not-run"),
+		r.Count("unknown"), r.Count("cut")+r.Count("no-answer"), r.Quantile(50), r.Quantile(99))
+	for reason, n := range r.Reasons() {
+		fmt.Fprintf(w, "  %d x %s\n", n, reason)
+	}
+	if p.after != nil {
+		return p.after(ctx, f)
+	}
+	return nil
+}
+
+// verify compares every outcome with what the servers ran, and asks the nodes
+// for broken invariants.
+func verify(ctx context.Context, w io.Writer, f *fleet.Fleet, samples []load.Sample) error {
+	runs := map[string]int{}
+	over := 0
+	for _, h := range f.Hosts() {
+		l := h.Server().Ledger()
+		over += l.Over()
+		for id, n := range l.Runs() {
+			runs[id] += n
+		}
+	}
+	wrong := load.Account(samples, runs, func(flow string) bool { return flow != "findings" && flow != "archive" })
+	breaches := 0
+	for _, h := range f.Hosts() {
+		d, err := h.Dump(ctx)
+		if err != nil {
+			return err
+		}
+		breaches += d.Breaches()
+	}
+	for _, line := range f.Faults() {
+		wrong = append(wrong, "log: "+line)
+	}
+	fmt.Fprintf(w, "%d requests accounted for; %d began above a server's slots; %d invariants broken\n", len(samples), over, breaches)
+	for _, line := range wrong {
+		fmt.Fprintln(w, "WRONG:", line)
+	}
+	if len(wrong) > 0 || over > 0 || breaches > 0 {
+		return fmt.Errorf("the demo found %d wrong outcomes, %d moments above slots and %d broken invariants", len(wrong), over, breaches)
+	}
+	fmt.Fprintln(w, "all invariants held")
+	return nil
+}
--- a/savorygap-bench/internal/fleet/fleet.go
+++ b/savorygap-bench/internal/fleet/fleet.go
@@ -31,13 +31,13 @@
 )
 
 const (
-	storePort   = 7600
-	serverPort  = 8000
-	valid       = 24 * time.Hour
-	readyPoll   = 50 * time.Millisecond
-	stopTimeout = 40 * time.Second
-	operator    = "operator"
-	clientIdle  = 256
+	storePort    = 7600
+	serverPort   = 8000
+	valid        = 24 * time.Hour
+	readyPoll    = 50 * time.Millisecond
+	stopTimeout  = 40 * time.Second
+	operatorName = "operator"
+	clientIdle   = 256
 )
 
 // HostPlan is one host: a node process and, if a service is named, a server.
@@ -212,10 +212,10 @@
 			return err
 		}
 	}
-	if err := authority.Issue(f.dir, operator, keys.RoleOperate, nil, time.Now(), valid); err != nil {
+	if err := authority.Issue(f.dir, operatorName, keys.RoleOperate, nil, time.Now(), valid); err != nil {
 		return err
 	}
-	f.ring, err = keys.Load(f.path("ca.pem"), f.path(operator+".pem"), f.path(operator+"-key.pem"))
+	f.ring, err = keys.Load(f.path("ca.pem"), f.path(operatorName+".pem"), f.path(operatorName+"-key.pem"))
 	return err
 }
 
@@ -228,7 +228,9 @@
 // Dir returns the folder with keys, settings and logs.
 func (f *Fleet) Dir() string { return f.dir }
 
-func (f *Fleet) storeAddress() string { return fmt.Sprintf("127.0.%d.250:%d", f.plan.subnet, storePort) }
+func (f *Fleet) storeAddress() string {
+	return fmt.Sprintf("127.0.%d.250:%d", f.plan.subnet, storePort)
+}
 
 func (f *Fleet) startStore() error {
 	listener, err := net.Listen("tcp", f.storeAddress())
--- a/savorygapd/internal/control/control.go
+++ b/savorygapd/internal/control/control.go
@@ -85,7 +85,7 @@
 			suspended.apply(routes)
 			_ = level.Info(p.Logger()).Log("event", "configuration in force", "revision", d.Revision())
 		},
-		func(duty gossip.Duty) { follower.SetDuty(duty.Watch(), duty.Contact()) },
+		func(duty gossip.Duty) { follower.SetDuty(duty.Watch(), duty.Contact(), duty.Alone()) },
 		func(ctx context.Context, name, calls string) bool { return reach(ctx, p, name, calls) },
 		func(event, peer, reason string) {
 			_ = level.Warn(p.Logger()).Log("event", event, "peer", peer, "error", reason)
