--- a/lib/caller/answer.go
+++ b/lib/caller/answer.go
@@ -78,8 +78,7 @@
 // refuse tells the caller that the request was not run or that its outcome is
 // unknown.
 func (q *request) refuse(err error) {
-	var notRun *outcome.NotRunError
-	if errors.As(err, &notRun) {
+	if notRun, ok := outcome.AsNotRun(err); ok {
 		q.write(outcome.NotRun, http.StatusServiceUnavailable, notRun.Reason())
 		return
 	}
--- a/lib/caller/handler.go
+++ b/lib/caller/handler.go
@@ -21,7 +21,12 @@
 	"savorygap.example/lib/server"
 )
 
-const copyBuffer = 32 << 10 // bytes
+const (
+	copyBuffer = 32 << 10 // bytes
+
+	// homePause lets the views of two nodes agree on the home of a key.
+	homePause = 150 * time.Millisecond
+)
 
 // Events of the chart "request".
 const (
@@ -234,20 +239,16 @@
 // another decides whether err is followed by a further attempt.
 func (q *request) another(ctx context.Context, err error, body *source) (balance.Target, bool, bool) {
 	policy := q.plan.Match().Policy()
-	var notRun *outcome.NotRunError
-	isNotRun := errors.As(err, &notRun)
+	notRun, isNotRun := outcome.AsNotRun(err)
 	allowed := retry.Allowed(err, q.idempotent()) && body.replayable() &&
 		ctx.Err() == nil && q.notRuns+q.retries < policy.Retries()
 	var choice route.Choice
 	if allowed {
-		ask := route.NewAsk(q.plan.Match().Service(), q.demands.depth, q.tried)
-		if isNotRun && notRun.Reason() == admission.ReasonBusy.String() {
-			ask = ask.Rerouting()
-		}
-		if q.keyed() {
-			ask = ask.Keyed(q.demands.key, q.demands.created)
+		reason := ""
+		if isNotRun {
+			reason = notRun.Reason()
 		}
-		choice = q.handler.router.Again(ctx, ask)
+		choice = q.handler.router.Again(ctx, q.ask(ctx, reason))
 	}
 	target, found := choice.Target()
 	switch {
@@ -263,6 +264,26 @@
 	return target, choice.Last(), found
 }
 
+// ask describes the further attempt that follows a refusal for the reason
+// given.
+func (q *request) ask(ctx context.Context, reason string) route.Ask {
+	if reason == server.ReasonNotHome {
+		q.tried = nil
+		select {
+		case <-ctx.Done():
+		case <-q.handler.clock.After(homePause):
+		}
+	}
+	ask := route.NewAsk(q.plan.Match().Service(), q.demands.depth, q.tried)
+	if reason == admission.ReasonBusy.String() {
+		ask = ask.Rerouting()
+	}
+	if q.keyed() {
+		ask = ask.Keyed(q.demands.key, q.demands.created)
+	}
+	return ask
+}
+
 func (q *request) keyed() bool { return q.demands.key != "" && !q.idempotent() }
 
 // one makes an attempt, with a second one beside it when it is slow and the
@@ -282,8 +303,7 @@
 	latency := q.handler.clock.Now().Sub(sent)
 	settlement := route.NewSettlement(q.plan.Match().Service(), t.ID(), endingOf(ctx, err), latency)
 	if err != nil {
-		var notRun *outcome.NotRunError
-		if errors.As(err, &notRun) {
+		if notRun, ok := outcome.AsNotRun(err); ok {
 			if report, ok := notRun.Report(); ok {
 				settlement = settlement.WithReport(report)
 			}
@@ -306,19 +326,19 @@
 }
 
 func endingOf(ctx context.Context, err error) balance.Ending {
-	var notRun *outcome.NotRunError
+	notRun, isNotRun := outcome.AsNotRun(err)
 	switch {
 	case err == nil:
 		return balance.Answered
 	case errors.Is(ctx.Err(), context.Canceled):
 		return balance.Abandoned
-	case errors.As(err, &notRun):
-		if _, reported := notRun.Report(); reported {
-			return balance.Refused
-		}
-		return balance.Unreachable
+	case !isNotRun:
+		return balance.Lost
+	}
+	if _, reported := notRun.Report(); reported {
+		return balance.Refused
 	}
-	return balance.Lost
+	return balance.Unreachable
 }
 
 func (q *request) call(ctx context.Context, t balance.Target, last bool, body *source) attempt.Call {
--- a/lib/node/relay.go
+++ b/lib/node/relay.go
@@ -38,8 +38,7 @@
 }
 
 func relayError(i *Incoming, err error) {
-	var notRun *outcome.NotRunError
-	if errors.As(err, &notRun) {
+	if notRun, ok := outcome.AsNotRun(err); ok {
 		_ = i.Refuse(notRun)
 		return
 	}
--- a/lib/outcome/outcome.go
+++ b/lib/outcome/outcome.go
@@ -7,11 +7,11 @@
 //
 // # Usage
 //
-//	var notRun *outcome.NotRunError
-//	if errors.As(err, &notRun) && notRun.Retryable() { ... }
+//	if notRun, ok := outcome.AsNotRun(err); ok && notRun.Retryable() { ... }
 package outcome
 
 import (
+	"errors"
 	"fmt"
 
 	"savorygap.example/lib/load"
@@ -66,6 +66,17 @@
 // Retryable reports whether another target may take the request.
 func (e *NotRunError) Retryable() bool { return !e.permanent }
 
+// AsNotRun returns the NotRunError that err is. An unknown outcome stays
+// unknown, also when a request that was not run is among its causes.
+func AsNotRun(err error) (*NotRunError, bool) {
+	var unknown *UnknownError
+	if errors.As(err, &unknown) {
+		return nil, false
+	}
+	var notRun *NotRunError
+	return notRun, errors.As(err, &notRun)
+}
+
 // UnknownError reports a request that may or may not have been run.
 type UnknownError struct {
 	reason string
--- a/lib/retry/retry.go
+++ b/lib/retry/retry.go
@@ -77,8 +77,7 @@
 // request was certainly not run and another target may take it, or when its
 // outcome is unknown and the request is idempotent.
 func Allowed(err error, idempotent bool) bool {
-	var notRun *outcome.NotRunError
-	if errors.As(err, &notRun) {
+	if notRun, ok := outcome.AsNotRun(err); ok {
 		return notRun.Retryable()
 	}
 	var unknown *outcome.UnknownError
--- a/lib/server/runner.go
+++ b/lib/server/runner.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -25,6 +24,10 @@
 	HeaderKey       = "Idempotency-Key"
 )
 
+// ReasonNotHome is the refusal of a keyed request by a node that, in its view,
+// is not beside the home of the key. The views agree a moment later.
+const ReasonNotHome = "not the home of the key"
+
 // reasonPromised is the refusal by which an earlier home of a key promises
 // never to run it.
 const reasonPromised = "key promised"
@@ -75,7 +78,7 @@
 		return nil, outcome.NewUnknown("the earlier homes of the key are not known", nil)
 	}
 	if homes.Present().ID().Node() != r.node || homes.Present().ID().Address() != c.Address() {
-		return nil, outcome.NewNotRun("not the home of the key")
+		return nil, outcome.NewNotRun(ReasonNotHome)
 	}
 	v := r.ledger.Begin(ctx, key, c.KeyCreated())
 	switch v.Kind() {
@@ -127,11 +130,10 @@
 }
 
 func unlessPromised(err error) error {
-	var notRun *outcome.NotRunError
-	switch {
-	case err == nil:
+	if err == nil {
 		return nil
-	case errors.As(err, &notRun) && notRun.Reason() == reasonPromised:
+	}
+	if notRun, ok := outcome.AsNotRun(err); ok && notRun.Reason() == reasonPromised {
 		return nil
 	}
 	return outcome.NewUnknown("an earlier home of the key does not answer", err)
@@ -141,8 +143,7 @@
 func (r *Runner) record(ctx context.Context, key once.Key, c attempt.Call, body io.Reader) (*attempt.Answer, error) {
 	answer, err := r.attempt(ctx, c, body)
 	if err != nil {
-		var notRun *outcome.NotRunError
-		if errors.As(err, &notRun) {
+		if _, ok := outcome.AsNotRun(err); ok {
 			r.ledger.Withdraw(key)
 		} else {
 			r.ledger.Lose(key)
--- a/savorygap-bench/internal/demo/demo.go
+++ b/savorygap-bench/internal/demo/demo.go
@@ -41,14 +41,11 @@
 // sends load through a data centre's leave and return and a node's drain, and
 // prints a table. It returns an error when something happened that must not.
 func Run(ctx context.Context, w io.Writer) error {
-	f, err := fleet.Start(ctx, fleet.NewPlan(subnet, hosts()))
+	f, err := Start(ctx, w)
 	if err != nil {
 		return err
 	}
 	defer f.Stop()
-	if err := prepare(ctx, w, f); err != nil {
-		return err
-	}
 	var samples []load.Sample
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(t, "PHASE\tSENT\tANSWERED\tNOT RUN\tUNKNOWN\tCUT\tP50\tP99")
@@ -63,6 +60,19 @@
 	return verify(ctx, w, f, samples)
 }
 
+// Start starts the sample fleet with its configuration in force.
+func Start(ctx context.Context, w io.Writer) (*fleet.Fleet, error) {
+	f, err := fleet.Start(ctx, fleet.NewPlan(subnet, hosts()))
+	if err != nil {
+		return nil, err
+	}
+	if err := prepare(ctx, w, f); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
 func hosts() []fleet.HostPlan {
 	shape := standin.NewShape(slots, serviceTime).Cold(time.Second)
 	var plans []fleet.HostPlan
--- a/savorygap-bench/internal/standin/http.go
+++ b/savorygap-bench/internal/standin/http.go
@@ -54,15 +54,26 @@
 	if _, err := io.Copy(digest, r.Body); err != nil {
 		return
 	}
-	select {
-	case <-r.Context().Done():
+	if !wait(r, v.duration) {
 		return
-	case <-time.After(v.duration):
 	}
 	w.Header().Set(HeaderDigest, strconv.FormatUint(digest.Sum64(), 16))
 	writeBody(w, r, v.cut)
 }
 
+// wait reports whether the caller stayed for the whole service time.
+func wait(r *http.Request, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	select {
+	case <-r.Context().Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 func writeBody(w http.ResponseWriter, r *http.Request, cut bool) {
 	size, err := strconv.Atoi(r.Header.Get(HeaderSize))
 	if err != nil || size < 0 {
--- a/savorygapd/internal/local/local.go
+++ b/savorygapd/internal/local/local.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"savorygap.example/lib/server"
@@ -36,8 +38,12 @@
 	if err != nil {
 		return err
 	}
-	if err := p.Metrics().Register(newCollector(p)); err != nil {
-		return err
+	for _, c := range []prometheus.Collector{
+		newCollector(p), collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	} {
+		if err := p.Metrics().Register(c); err != nil {
+			return err
+		}
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/v1/servers", server.Handler(p.Registry()))
--- a/savorygapd/internal/process/life.go
+++ b/savorygapd/internal/process/life.go
@@ -9,6 +9,7 @@
 	"github.com/go-kit/log/level"
 
 	"savorygap.example/lib/chart"
+	"savorygap.example/lib/once"
 )
 
 const (
@@ -17,8 +18,9 @@
 	stopTimeout  = 5 * time.Second
 
 	// farewell is how long the process stays after its work is done, so that
-	// calls that were already on their way are refused and not lost.
-	farewell = 500 * time.Millisecond
+	// calls that were already on their way are refused and not lost, and that
+	// the next homes of its idempotency keys can still ask it.
+	farewell = once.MaxSkew
 
 	eventConfigured chart.Event = "configured"
 	eventTerminate  chart.Event = "terminate"
