perf(node): keep more idle connections and size buffers by the body

Cause: a profile at 3000 calls/s with 64 callers showed TLS handshakes (8 idle connections a peer for up to 64 concurrent calls) and garbage collection of 32 KiB copy buffers on a heap of a few megabytes. Change: 64 idle connections a peer within the bound of 256, copy buffers no larger than the answer, collection at 400% of the live heap below 48 MiB.

--- a/lib/attempt/answer.go
+++ b/lib/attempt/answer.go
@@ -44,5 +44,19 @@
 // Report returns the newest report on the server.
 func (a *Answer) Report() load.Report { return a.report() }
 
+const (
+	largestCopy  = 32 << 10 // bytes
+	smallestCopy = 512      // bytes
+)
+
+// CopyBuffer returns a buffer for streaming the body, no larger than the body
+// needs.
+func (a *Answer) CopyBuffer() []byte {
+	if a.length < 0 {
+		return make([]byte, largestCopy)
+	}
+	return make([]byte, min(max(a.length+1, smallestCopy), largestCopy))
+}
+
 // Finish ends the answer and returns the report on the server afterwards.
 func (a *Answer) Finish(bodyErr error) load.Report { return a.finish(bodyErr) }
--- a/lib/caller/answer.go
+++ b/lib/caller/answer.go
@@ -44,7 +44,7 @@
 func (q *request) copyBody(a *attempt.Answer) error {
 	flusher := http.NewResponseController(q.w)
 	streaming := a.Length() < 0
-	buffer := make([]byte, copyBuffer)
+	buffer := a.CopyBuffer()
 	for {
 		n, err := a.Body().Read(buffer)
 		if n > 0 {
--- a/lib/caller/handler.go
+++ b/lib/caller/handler.go
@@ -21,12 +21,8 @@
 	"savorygap.example/lib/server"
 )
 
-const (
-	copyBuffer = 32 << 10 // bytes
-
-	// homePause lets the views of two nodes agree on the home of a key.
-	homePause = 150 * time.Millisecond
-)
+// homePause lets the views of two nodes agree on the home of a key.
+const homePause = 150 * time.Millisecond
 
 // Events of the chart "request".
 const (
--- a/lib/node/relay.go
+++ b/lib/node/relay.go
@@ -10,8 +10,6 @@
 	"savorygap.example/lib/outcome"
 )
 
-const relayBuffer = 32 << 10 // bytes
-
 // Run makes one attempt on this host.
 type Run func(ctx context.Context, c attempt.Call, body io.Reader) (*attempt.Answer, error)
 
@@ -51,7 +49,7 @@
 	if err := i.Answer(NewHead(a.Status(), a.Header(), a.Length(), a.Report())); err != nil {
 		return err
 	}
-	buffer := make([]byte, relayBuffer)
+	buffer := a.CopyBuffer()
 	for {
 		n, err := a.Body().Read(buffer)
 		if n > 0 {
--- a/lib/node/stream.go
+++ b/lib/node/stream.go
@@ -7,7 +7,8 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-const streamBuffer = 32 << 10 // bytes
+// streamBuffer takes a whole body frame in bytes, which is then one write.
+const streamBuffer = maxBodyFrame + frameHeaderLen
 
 // Stream is an ordered byte stream to a peer that carries one call at a time.
 // Its function fields hide whether TCP or QUIC is below.
--- a/lib/node/tcp.go
+++ b/lib/node/tcp.go
@@ -20,7 +20,7 @@
 	ProtocolCalls = "savorygap-calls/1"
 
 	poolInbox       = 256
-	maxIdlePerPeer  = 8
+	maxIdlePerPeer  = 64
 	maxIdleTotal    = 256
 	idleStreamLimit = 60 * time.Second
 	poolSweep       = 5 * time.Second
--- a/lib/server/conn.go
+++ b/lib/server/conn.go
@@ -11,7 +11,7 @@
 
 const (
 	dialTimeout = 2 * time.Second
-	bufferSize  = 16 << 10 // bytes
+	bufferSize  = 32 << 10 // bytes
 )
 
 // Conn is one HTTP/1.1 connection to a server. It belongs to whoever holds it:
--- a/savorygapd/cmd/run.go
+++ b/savorygapd/cmd/run.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 
 	"github.com/jonboulle/clockwork"
@@ -16,7 +17,11 @@
 	"savorygap.example/savorygapd/internal/process"
 )
 
-const signalBuffer = 4
+const (
+	signalBuffer = 4
+	collectAt    = 400      // percent of the live heap
+	memoryLimit  = 48 << 20 // bytes, from which collection is more frequent
+)
 
 func runCommand(stderr io.Writer) *cli.Command {
 	o := &options{}
@@ -35,6 +40,8 @@
 	if err != nil {
 		return err
 	}
+	debug.SetGCPercent(collectAt)
+	debug.SetMemoryLimit(memoryLimit)
 	signals := make(chan os.Signal, signalBuffer)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 	p, err := process.New(tree, logs.New(stderr, tree), clockwork.NewRealClock())
--- a/savorygapd/internal/local/local.go
+++ b/savorygapd/internal/local/local.go
@@ -8,6 +8,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -51,6 +52,9 @@
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) { ready(w, p) })
 	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, r *http.Request) { dump(w, r, p) })
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 	s := &http.Server{Handler: mux, ReadHeaderTimeout: headerTime}
 	p.Go(func(ctx context.Context) {
 		stop := context.AfterFunc(ctx, func() { _ = s.Close() })
