fix(admission): give a deeper call the slot that is kept for it

Cause: the ring test (two services calling each other six deep, 40 callers) answered nothing: a deeper call found the queue filled by new requests and was refused as queue-full although one slot was reserved for it. Ruled out: the reservation itself; refusals were all queue-full at 11 in flight of 12. Change: a ticket that fits is granted unless a queued one fits too; nested calls have queue places of their own.

--- a/lib/admission/gate.go
+++ b/lib/admission/gate.go
@@ -117,7 +117,8 @@
 	}
 	t.offered = now
 	g.shares.see(now, t)
-	if g.queue.len() == 0 && g.fits(now, t) {
+	fits := func(t Ticket) bool { return g.fits(now, t) }
+	if g.fits(now, t) && !g.queue.anyFits(fits) {
 		g.grant(now, t)
 		return Decision{id: t.id, verdict: Granted}
 	}
@@ -125,18 +126,12 @@
 		return refuse(t.id, reason)
 	}
 	g.queue.push(t)
-	if next, ok := g.pop(now); ok && next.id == t.id {
-		g.grant(now, next)
-		return Decision{id: t.id, verdict: Granted}
-	} else if ok {
-		g.queue.push(next)
-	}
 	return Decision{id: t.id, verdict: Queued}
 }
 
 // mayWait returns why a ticket cannot join the queue, or ReasonNone.
 func (g *Gate) mayWait(now time.Time, t Ticket) Reason {
-	if g.queue.lenOf(t.class) >= g.queue.capacity {
+	if g.queue.full(t) {
 		return ReasonQueueFull
 	}
 	wait := g.expectedWait(t)
--- a/lib/admission/queue.go
+++ b/lib/admission/queue.go
@@ -35,6 +35,28 @@
 
 func (q *queue) lenOf(c document.Class) int { return len(q.waiting[c]) }
 
+// full reports whether t finds no place. Nested calls have places of their
+// own, so that a queue of new requests does not shut them out.
+func (q *queue) full(t Ticket) bool {
+	n := 0
+	for _, other := range q.waiting[t.class] {
+		if (other.depth > 0) == (t.depth > 0) {
+			n++
+		}
+	}
+	return n >= q.capacity
+}
+
+// anyFits reports whether the head of any class could be granted.
+func (q *queue) anyFits(fits func(Ticket) bool) bool {
+	for _, list := range q.waiting {
+		if len(list) > 0 && fits(list[0]) {
+			return true
+		}
+	}
+	return false
+}
+
 func (q *queue) push(t Ticket) {
 	list := q.waiting[t.class]
 	at := len(list)
--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -112,7 +112,6 @@
 	reportedAt  time.Time
 	failedAt    time.Time
 	failures    int
-	failedShare float64
 }
 
 // Target returns the target.
--- /dev/null
+++ b/lib/document/document_test.go
@@ -0,0 +1,183 @@
+package document_test
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"savorygap.example/lib/document"
+	"savorygap.example/lib/wire"
+)
+
+var at = time.Unix(1_700_000_000, 0).UTC()
+
+func resources(t *testing.T, text string) []document.Resource {
+	t.Helper()
+	out, err := wire.DecodeYAML([]byte(text))
+	must.NoError(t, err)
+	return out
+}
+
+const base = `
+kind: rulebook
+name: shared
+rules:
+  - {name: reads, methods: GET, class: interactive, timeout: 3s, retries: 1}
+---
+{kind: branch, name: board, hosts: [board.example], rules: [{name: reads, timeout: 1s}, {name: own, service: findings, methods: POST, priority: 5, class: urgent}]}
+---
+{kind: branch, name: hoevemarkt, hosts: [shop.example]}
+---
+{kind: service, name: logview, branch: board, prefix: /logview/}
+---
+{kind: service, name: findings, branch: board, prefix: /findings/}
+---
+{kind: datacentre, name: port-louis, region: mu-north}
+`
+
+func apply(t *testing.T, d *document.Document, id string, puts []document.Resource) *document.Document {
+	t.Helper()
+	next, err := d.Apply(document.NewChange(id, "alice", at, puts, nil))
+	must.NoError(t, err)
+	return next
+}
+
+func TestApplyIsIdempotentByOperationID(t *testing.T) {
+	d := apply(t, document.Empty(), "op-1", resources(t, base))
+	must.Eq(t, document.Revision(1), d.Revision())
+	again := apply(t, d, "op-1", resources(t, base))
+	must.Eq(t, document.Revision(1), again.Revision())
+	must.Eq(t, "alice", d.Operations()[0].Author())
+}
+
+func TestApplyNamesRevisionAndFieldsOfAConflict(t *testing.T) {
+	d := apply(t, document.Empty(), "op-1", resources(t, base))
+	d = apply(t, d, "op-2", resources(t, "{kind: datacentre, name: port-louis, region: mu-north, out: true}"))
+	stale := document.NewChange("op-3", "bob", at, resources(t, "{kind: datacentre, name: port-louis, region: mu-south}"), nil).Expecting(1)
+	_, err := d.Apply(stale)
+	var conflict *document.ConflictError
+	must.True(t, errors.As(err, &conflict))
+	must.Eq(t, document.Revision(2), conflict.Actual())
+	must.Len(t, 2, conflict.Differing())
+	must.Eq(t, "out", conflict.Differing()[0].Field())
+}
+
+func TestApplyRefusesUnsoundDocuments(t *testing.T) {
+	cases := map[string]struct{ text, field string }{
+		"unknown branch":    {"{kind: service, name: a, branch: none, prefix: /a/}", "branch"},
+		"prefix form":       {"{kind: service, name: a, branch: board, prefix: a}", "prefix"},
+		"prefix twice":      {"{kind: service, name: a, branch: board, prefix: /logview/}", "prefix"},
+		"host twice":        {"{kind: branch, name: other, hosts: [Board.example]}", "hosts"},
+		"name form":         {"{kind: branch, name: Other_1}", "name"},
+		"region missing":    {"{kind: datacentre, name: x}", "region"},
+		"rule twice":        {"{kind: rulebook, name: b, rules: [{name: r}, {name: r}]}", "rules"},
+		"name of 64 letter": {"{kind: branch, name: aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa}", "name"},
+	}
+	d := apply(t, document.Empty(), "op-1", resources(t, base))
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, err := d.Apply(document.NewChange("op-2", "bob", at, resources(t, c.text), nil))
+			var invalid *document.InvalidError
+			must.True(t, errors.As(err, &invalid))
+			must.Eq(t, c.field, invalid.Field())
+		})
+	}
+}
+
+func TestDeleteOfAbsentResourceIsRefused(t *testing.T) {
+	_, err := document.Empty().Apply(document.NewChange("op", "a", at, nil, []document.Key{document.NewKey(document.KindBranch, "x")}))
+	var invalid *document.InvalidError
+	must.True(t, errors.As(err, &invalid))
+}
+
+func TestEffectiveLaysBranchOverRulebook(t *testing.T) {
+	d := apply(t, document.Empty(), "op-1", resources(t, base))
+	rules := d.Effective("board")
+	must.Len(t, 2, rules)
+	must.Eq(t, "own", rules[0].Name())
+	reads := rules[1]
+	must.Eq(t, time.Second, reads.Policy().Timeout())
+	must.Eq(t, document.Origin("branch/board"), reads.Sourced(document.FieldTimeout).Origin())
+	must.Eq(t, document.Origin("rulebook/shared"), reads.Sourced(document.FieldRetries).Origin())
+	must.Eq(t, document.OriginDefault, reads.Sourced(document.FieldHedge).Origin())
+	must.Eq(t, 3*time.Second, d.Effective("hoevemarkt")[0].Policy().Timeout())
+}
+
+func TestRoutesMatch(t *testing.T) {
+	routes := document.Compile(apply(t, document.Empty(), "op-1", resources(t, base)))
+	cases := map[string]struct {
+		host, method, path, service string
+		class                       document.Class
+		idempotent                  bool
+	}{
+		"read":          {"board.example:80", "GET", "/logview/today", "logview", document.ClassInteractive, true},
+		"case of host":  {"BOARD.example", "GET", "/logview/x", "logview", document.ClassInteractive, true},
+		"post by rule":  {"board.example", "POST", "/findings/new", "findings", document.ClassUrgent, false},
+		"post, no rule": {"board.example", "POST", "/logview/x", "logview", document.ClassInteractive, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			m, err := routes.Match(c.host, c.method, c.path)
+			must.NoError(t, err)
+			must.Eq(t, c.service, m.Service())
+			must.Eq(t, c.class, m.Policy().Class())
+			must.Eq(t, c.idempotent, m.Policy().Idempotent(c.method))
+		})
+	}
+	for _, path := range []string{"/none/", "/logview"} {
+		_, err := routes.Match("board.example", "GET", path)
+		var noRoute *document.NoRouteError
+		must.True(t, errors.As(err, &noRoute))
+	}
+	_, err := routes.Match("elsewhere.example", "GET", "/logview/")
+	must.Error(t, err)
+}
+
+// Whatever changes are made, the delta between any two revisions leads from
+// one to the other, and a delta from elsewhere is refused.
+func TestDeltaLeadsFromOneRevisionToAnother(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := []*document.Document{document.Empty()}
+		for i := range rapid.IntRange(1, 12).Draw(t, "changes") {
+			d := history[len(history)-1]
+			name := fmt.Sprintf("dc-%d", rapid.IntRange(0, 3).Draw(t, "dc"))
+			key := document.NewKey(document.KindDataCentre, name)
+			change := document.NewChange(fmt.Sprint(i), "a", at, []document.Resource{
+				document.DataCentreResource(document.NewDataCentre(name, "r", rapid.Bool().Draw(t, "out"))),
+			}, nil)
+			if _, exists := d.Get(key); exists && rapid.Bool().Draw(t, "delete") {
+				change = document.NewChange(fmt.Sprint(i), "a", at, nil, []document.Key{key})
+			}
+			next, err := d.Apply(change)
+			if err != nil {
+				t.Fatal(err)
+			}
+			history = append(history, next)
+		}
+		from := rapid.IntRange(0, len(history)-1).Draw(t, "from")
+		to := rapid.IntRange(from, len(history)-1).Draw(t, "to")
+		delta := history[to].Since(history[from])
+		patched, err := history[from].Patch(delta)
+		if to == from {
+			return
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		if patched.Revision() != history[to].Revision() || len(patched.Resources()) != len(history[to].Resources()) {
+			t.Fatalf("patched to revision %d with %d resources", patched.Revision(), len(patched.Resources()))
+		}
+		if rest := history[to].Since(patched); len(rest.Puts())+len(rest.Deletes()) > 0 {
+			t.Fatalf("patched document differs: %v %v", rest.Puts(), rest.Deletes())
+		}
+		if from > 1 {
+			if _, err := history[from-1].Patch(delta); err == nil {
+				t.Fatal("a delta applied to another revision")
+			}
+		}
+	})
+}
--- a/lib/node/client.go
+++ b/lib/node/client.go
@@ -152,7 +152,7 @@
 				return err
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			break
 		}
 		if err != nil {
@@ -234,7 +234,7 @@
 func (r *Reply) nextBody() error {
 	t, payload, err := r.stream.next()
 	if err != nil {
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
 		return err
--- a/lib/node/frame.go
+++ b/lib/node/frame.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 )
@@ -80,7 +81,7 @@
 	var buffer []byte
 	for {
 		t, payload, grown, err := readFrame(reader, buffer)
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
@@ -96,7 +97,7 @@
 func readFrame(r *bufio.Reader, buffer []byte) (frameType, []byte, []byte, error) {
 	header, err := r.Peek(frameHeaderLen)
 	if err != nil {
-		if len(header) > 0 && err == io.EOF {
+		if len(header) > 0 && errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
 		return 0, nil, buffer, err
@@ -112,7 +113,7 @@
 	}
 	payload := buffer[:length]
 	if _, err := io.ReadFull(r, payload); err != nil {
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
 		return t, nil, buffer, err
--- /dev/null
+++ b/lib/retry/retry_test.go
@@ -0,0 +1,70 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"savorygap.example/lib/outcome"
+	"savorygap.example/lib/retry"
+)
+
+func TestAllowed(t *testing.T) {
+	cases := map[string]struct {
+		err        error
+		idempotent bool
+		want       bool
+	}{
+		"not run":                     {outcome.NewNotRun("x"), false, true},
+		"not run, permanent":          {outcome.NewNotRun("x").Permanent(), true, false},
+		"unknown, idempotent":         {outcome.NewUnknown("x", nil), true, true},
+		"unknown, not idempotent":     {outcome.NewUnknown("x", nil), false, false},
+		"unknown caused by a refusal": {outcome.NewUnknown("x", outcome.NewNotRun("y")), false, false},
+		"cut answer":                  {outcome.NewCut(5, nil), true, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			must.Eq(t, c.want, retry.Allowed(c.err, c.idempotent))
+		})
+	}
+}
+
+// Under a full outage every level of twelve retries as often as its budget
+// allows; the load on the last level grows by no more than MaxGrowth, and the
+// burst that fresh budgets hold.
+func TestRetriesOfTwelveLevelsStayBounded(t *testing.T) {
+	const requests, levels = 20_000, 12
+	sent := float64(requests)
+	for depth := range levels {
+		b := retry.NewBudget(retry.RetryRatio, retry.RetryBurst)
+		for b.Spend(depth) {
+			continue
+		}
+		retried := 0
+		for range int(sent) {
+			b.Earn()
+			for range 2 {
+				if b.Spend(depth) {
+					retried++
+				}
+			}
+		}
+		sent += float64(retried)
+	}
+	must.LessEq(t, retry.MaxGrowth()*1.01, sent/requests)
+	must.Less(t, 1.5, retry.MaxGrowth())
+	must.Greater(t, 1.1, sent/requests)
+}
+
+func TestHedgeDelayFollowsTheHighQuantile(t *testing.T) {
+	q := &retry.Quantile{}
+	_, known := q.HedgeDelay()
+	must.False(t, known)
+	for i := range 5000 {
+		q.Add(time.Duration(1+i%100) * time.Millisecond)
+	}
+	delay, known := q.HedgeDelay()
+	must.True(t, known)
+	must.Between(t, 80*time.Millisecond, delay, 130*time.Millisecond)
+}
--- a/lib/server/keeper.go
+++ b/lib/server/keeper.go
@@ -70,7 +70,6 @@
 type release struct {
 	slot    admission.ID
 	conn    *Conn
-	closed  bool
 	result  admission.Result
 	latency time.Duration
 	reply   task.Reply[load.Report]
--- a/lib/store/standin/standin.go
+++ b/lib/store/standin/standin.go
@@ -90,7 +90,6 @@
 	lost    bool
 	delay   time.Duration
 	counts  Counts
-	faults  FaultSet
 }
 
 type message struct {
--- a/savorygap-bench/internal/standin/server.go
+++ b/savorygap-bench/internal/standin/server.go
@@ -15,7 +15,6 @@
 	"context"
 	"math"
 	"math/rand/v2"
-	"net/http"
 	"time"
 
 	"savorygap.example/lib/task"
@@ -154,7 +153,6 @@
 	noise    float64
 	noiseAt  time.Time
 	ledger   Ledger
-	nested   func(r *http.Request) int
 }
 
 // New returns a server that is not running yet.
--- a/savorygapd/internal/statedump/statedump.go
+++ b/savorygapd/internal/statedump/statedump.go
@@ -7,7 +7,6 @@
 	"sort"
 	"time"
 
-	"savorygap.example/lib/admission"
 	"savorygap.example/lib/balance"
 	"savorygap.example/lib/document"
 	"savorygap.example/lib/gossip"
@@ -171,7 +170,7 @@
 		s.Queued[document.Class(class).String()] = n
 	}
 	for reason, n := range d.Refused() {
-		s.Refused[admission.Reason(reason).String()] = n
+		s.Refused[reason.String()] = n
 	}
 	return s
 }
