--- a/lib/admission/invariants_test.go
+++ b/lib/admission/invariants_test.go
@@ -95,9 +95,11 @@
 			"offer":  m.offerRandom,
 			"offer2": m.offerRandom,
 			"finish": m.finishRandom,
-			"time":   func(t *rapid.T) { m.now = m.now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond) },
-			"tick":   func(t *rapid.T) { m.take(t, m.gate.Tick(m.now)) },
-			"slow":   func(t *rapid.T) { m.slow = time.Duration(rapid.IntRange(1, 300).Draw(t, "latency")) * time.Millisecond },
+			"time": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond)
+			},
+			"tick": func(t *rapid.T) { m.take(t, m.gate.Tick(m.now)) },
+			"slow": func(t *rapid.T) { m.slow = time.Duration(rapid.IntRange(1, 300).Draw(t, "latency")) * time.Millisecond },
 			"signal": func(t *rapid.T) {
 				decisions, err := m.gate.Signal(m.now, rapid.SampledFrom(signals).Draw(t, "event"))
 				if err == nil {
--- a/lib/balance/policy.go
+++ b/lib/balance/policy.go
@@ -11,7 +11,8 @@
 	unreachableMax  = 5 * time.Second
 	closedFor       = time.Second
 
-	reportHalfLife    = 250 * time.Millisecond
+	loadHalfLife      = 250 * time.Millisecond
+	latencyHalfLife   = 2 * time.Second
 	otherDataCentre   = 500 * time.Microsecond // one way
 	otherRegion       = 20 * time.Millisecond  // one way
 	unknownLatency    = 2 * time.Millisecond
@@ -28,7 +29,7 @@
 // since fast failures look like low latency.
 func Adaptive(now time.Time, here Place, candidates []*Entry, rng *rand.Rand) *Entry {
 	sample := sampled(candidates, rng)
-	usual := usualOf(now, candidates)
+	usual := usualLatency(now, candidates)
 	best, bestCost := sample[0], math.Inf(1)
 	for _, e := range sample {
 		if cost := e.cost(now, here, usual); cost < bestCost {
@@ -40,7 +41,7 @@
 
 // AdaptiveAll is Adaptive over all candidates in place of two.
 func AdaptiveAll(now time.Time, here Place, candidates []*Entry, rng *rand.Rand) *Entry {
-	usual := usualOf(now, candidates)
+	usual := usualLatency(now, candidates)
 	best, bestCost := candidates[0], math.Inf(1)
 	offset := rng.IntN(len(candidates))
 	for i := range candidates {
@@ -64,34 +65,28 @@
 	return []*Entry{candidates[first], candidates[second]}
 }
 
-// usual is the mean over the candidates, toward which stale reports are drawn.
-type usual struct {
-	others  float64
-	latency float64
-}
-
-func usualOf(now time.Time, candidates []*Entry) usual {
-	var u usual
-	weights := 0.0
+// usualLatency returns the mean latency over the candidates in seconds, toward
+// which stale latencies are drawn.
+func usualLatency(now time.Time, candidates []*Entry) float64 {
+	sum, weights := 0.0, 0.0
 	for _, e := range candidates {
-		w := freshness(now.Sub(e.reportedAt))
-		if e.reportedAt.IsZero() {
-			continue
-		}
+		w := e.freshness(now, latencyHalfLife)
 		weights += w
-		u.others += w * e.others()
-		u.latency += w * e.report.Latency().Seconds()
+		sum += w * e.report.Latency().Seconds()
 	}
-	if weights < 0.01 {
-		return usual{latency: unknownLatency.Seconds()}
+	if weights < 0.01 || sum == 0 {
+		return unknownLatency.Seconds()
 	}
-	u.others /= weights
-	u.latency /= weights
-	return u
+	return sum / weights
 }
 
-func freshness(age time.Duration) float64 {
-	return math.Exp2(-age.Seconds() / reportHalfLife.Seconds())
+// freshness is the weight of the newest report: 1 when it has just arrived, 0
+// when there is none.
+func (e *Entry) freshness(now time.Time, halfLife time.Duration) float64 {
+	if e.reportedAt.IsZero() {
+		return 0
+	}
+	return math.Exp2(-now.Sub(e.reportedAt).Seconds() / halfLife.Seconds())
 }
 
 // others estimates the requests of other nodes at the target when it reported.
@@ -107,14 +102,13 @@
 	return float64(e.report.Limit())
 }
 
-// cost returns the expected time of a request at the target in seconds.
-func (e *Entry) cost(now time.Time, here Place, u usual) float64 {
-	w := 0.0
-	if !e.reportedAt.IsZero() {
-		w = freshness(now.Sub(e.reportedAt))
-	}
-	others := w*e.others() + (1-w)*u.others
-	latency := w*e.report.Latency().Seconds() + (1-w)*u.latency
+// cost returns the expected time of a request at the target in seconds. As a
+// report ages, the load that it tells of is taken for gone, so that a target
+// once busy is tried again.
+func (e *Entry) cost(now time.Time, here Place, usual float64) float64 {
+	others := e.freshness(now, loadHalfLife) * e.others()
+	w := e.freshness(now, latencyHalfLife)
+	latency := w*e.report.Latency().Seconds() + (1-w)*usual
 	if latency <= 0 {
 		latency = unknownLatency.Seconds()
 	}
--- a/lib/node/client.go
+++ b/lib/node/client.go
@@ -125,11 +125,19 @@
 	}
 	r.startBody = func() { go func() { _ = r.sendBody(call, body) }() }
 	if !call.Hold() {
-		r.startBody()
+		r.release()
 	}
 	return nil
 }
 
+// release starts sending the body, if it was held back until now.
+func (r *Reply) release() {
+	if r.startBody != nil {
+		r.startBody()
+		r.startBody = nil
+	}
+}
+
 func (r *Reply) sendEnd(t tally) error {
 	end := NewEnd(t.length, t.hash.Sum64(), nil, load.Report{})
 	if err := r.stream.sendNow(frameEnd, EncodeEnd(end)); err != nil {
@@ -186,7 +194,7 @@
 			}
 			return outcome.NewUnknown(f.reason, nil)
 		case frameContinue:
-			r.startBody()
+			r.release()
 		case frameGoAway:
 			r.stream.reusable = false
 		}
