--- a/lib/gossip/control.go
+++ b/lib/gossip/control.go
@@ -215,8 +215,8 @@
 			return
 		case m := <-c.inbox.Messages():
 			c.handle(ctx, m)
-		case now := <-ticker.Chan():
-			c.tick(ctx, now)
+		case <-ticker.Chan():
+			c.tick(ctx, c.clock.Now())
 		}
 	}
 }
--- a/lib/node/tcp.go
+++ b/lib/node/tcp.go
@@ -74,8 +74,8 @@
 			return
 		case m := <-t.inbox.Messages():
 			t.handle(m)
-		case now := <-ticker.Chan():
-			t.sweep(now)
+		case <-ticker.Chan():
+			t.sweep(t.clock.Now())
 		}
 	}
 }
--- a/lib/server/keeper.go
+++ b/lib/server/keeper.go
@@ -176,8 +176,8 @@
 			return
 		case m := <-k.inbox.Messages():
 			k.handle(ctx, m)
-		case now := <-k.timer.Chan():
-			k.tick(now)
+		case <-k.timer.Chan():
+			k.tick(k.clock.Now())
 		}
 	}
 }
--- a/lib/server/registry.go
+++ b/lib/server/registry.go
@@ -92,8 +92,8 @@
 			return
 		case m := <-r.inbox.Messages():
 			r.handle(ctx, m)
-		case now := <-ticker.Chan():
-			r.sweep(now)
+		case <-ticker.Chan():
+			r.sweep(r.clock.Now())
 		}
 	}
 }
--- a/lib/store/standin/standin.go
+++ b/lib/store/standin/standin.go
@@ -142,8 +142,8 @@
 			return
 		case m := <-s.inbox.Messages():
 			s.handle(m)
-		case now := <-ticker.Chan():
-			s.sweep(now)
+		case <-ticker.Chan():
+			s.sweep(s.clock.Now())
 		}
 	}
 }
