fix(server): hold the slot of a cancelled request until the server lets go

The node closed the connection and released the slot at once, while the server still held the request until it noticed. Ruled out: the gate, whose own count never passed the limit (0 breaches). Change: a cancelled request ends the sending direction only; the slot is released when the server closes the connection, at most 30 s later.

--- a/lib/gossip/control.go
+++ b/lib/gossip/control.go
@@ -269,6 +269,7 @@
 		c.linkDown(now, m.down.link)
 	case m.failed != nil:
 		delete(c.dialling, m.failed.name)
+		c.startProbe(now, m.failed.name)
 	case m.servers != nil:
 		c.spread(c.table.Restate(now, *m.servers, false), "")
 	case m.accept != nil:
--- a/lib/server/exchange.go
+++ b/lib/server/exchange.go
@@ -15,6 +15,7 @@
 const (
 	maxInformational = 8               // 1xx answers before the final one
 	drainTimeout     = 5 * time.Second // for a request body after the answer
+	letGoTimeout     = 30 * time.Second
 )
 
 // Exchange is one request sent to one server on one connection, exactly once.
@@ -26,6 +27,7 @@
 	response *http.Response
 	latency  time.Duration
 	sent     chan error
+	ctx      context.Context
 	stop     func() bool
 }
 
@@ -34,7 +36,7 @@
 // and *outcome.UnknownError otherwise; in both cases the slot is released. It
 // never sends a request twice.
 func (k *Keeper) Send(ctx context.Context, slot Slot, address string, request *http.Request) (*Exchange, error) {
-	x := &Exchange{keeper: k, slot: slot, conn: slot.conn}
+	x := &Exchange{keeper: k, slot: slot, conn: slot.conn, ctx: ctx}
 	if x.conn == nil {
 		conn, err := Dial(ctx, address)
 		if err != nil {
@@ -45,19 +47,19 @@
 	}
 	started := k.clock.Now()
 	before := x.conn.written
-	x.stop = context.AfterFunc(ctx, x.conn.Close)
+	x.stop = context.AfterFunc(ctx, x.conn.hangUp)
 	err := x.roundTrip(request)
 	x.latency = k.clock.Now().Sub(started)
 	if err == nil {
 		return x, nil
 	}
 	x.stop()
-	untouched := x.sent == nil && x.conn.written == before
-	x.conn.Close()
-	report := k.Release(slot, nil, resultOfError(ctx), x.latency)
-	if untouched {
+	if x.sent == nil && x.conn.written == before {
+		x.conn.Close()
+		report := k.Release(slot, nil, resultOfError(ctx), x.latency)
 		return nil, outcome.NewNotRun("write").WithReport(report)
 	}
+	x.letGo(ctx, resultOfError(ctx))
 	return nil, outcome.NewUnknown("no answer from the server", errors.Join(err, ctx.Err()))
 }
 
@@ -90,7 +92,7 @@
 	if err == nil {
 		return nil
 	}
-	x.conn.Close()
+	_ = x.conn.raw.SetWriteDeadline(past)
 	return errors.Join(err, <-x.sent)
 }
 
@@ -134,7 +136,11 @@
 // cleanly. It returns the report on the server afterwards.
 func (x *Exchange) Finish(bodyErr error) load.Report {
 	live := x.stop()
-	clean := bodyErr == nil && live && !x.response.Close && x.requestSent()
+	if !live {
+		x.letGo(x.ctx, x.result(bodyErr))
+		return x.slot.report
+	}
+	clean := bodyErr == nil && !x.response.Close && x.requestSent()
 	conn := x.conn
 	if clean {
 		_, err := x.response.Body.Read(make([]byte, 1))
@@ -147,6 +153,21 @@
 	return x.keeper.Release(x.slot, conn, x.result(bodyErr), x.latency)
 }
 
+// letGo ends a request without a whole answer. Where the caller left, the slot
+// is released only when the server has ended the request too; a server that
+// does not notice keeps its slot taken for up to letGoTimeout.
+func (x *Exchange) letGo(ctx context.Context, result admission.Result) {
+	if ctx.Err() == nil {
+		x.conn.Close()
+		x.keeper.Release(x.slot, nil, result, x.latency)
+		return
+	}
+	go func() {
+		x.conn.awaitEnd(letGoTimeout)
+		x.keeper.Release(x.slot, nil, result, x.latency)
+	}()
+}
+
 func (x *Exchange) requestSent() bool {
 	if x.sent == nil {
 		return true
--- a/lib/server/server_test.go
+++ b/lib/server/server_test.go
@@ -141,6 +141,32 @@
 	must.Eq(t, 1, requests.Load())
 }
 
+// A caller that leaves frees the slot only when the server has let go of the
+// request, so that the server never holds more than its slots.
+func TestSlotOfACancelledRequestIsHeldUntilTheServerLetsGo(t *testing.T) {
+	h := start(t)
+	begun, leave := make(chan struct{}), make(chan struct{})
+	address := serve(t, func(http.ResponseWriter, *http.Request) {
+		close(begun)
+		<-leave
+	})
+	h.announce(t, address, "i", false)
+	k, _ := h.registry.Lookup(h.ctx, service, address)
+	ctx, cancel := context.WithCancel(h.ctx)
+	go func() { <-begun; cancel() }()
+	_, err := h.runner.Run(ctx, call(address, "GET", 0), nil)
+	must.Error(t, err)
+	inFlight := func() int {
+		d, _ := k.Dump(h.ctx)
+		return d.InFlight()
+	}
+	must.Eq(t, 1, inFlight())
+	close(leave)
+	for until := time.Now().Add(10 * time.Second); inFlight() > 0; time.Sleep(time.Millisecond) {
+		must.True(t, time.Now().Before(until))
+	}
+}
+
 func TestServerThatCannotBeReachedMeansNotRun(t *testing.T) {
 	h := start(t)
 	h.announce(t, "127.0.0.1:1", "i", false)
--- a/lib/store/follower.go
+++ b/lib/store/follower.go
@@ -90,11 +90,13 @@
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	done := make(chan struct{})
+	forContact := rand.New(rand.NewPCG(f.rng.Uint64(), 1))
+	forConfiguration := rand.New(rand.NewPCG(f.rng.Uint64(), 2))
 	go func() {
 		defer close(done)
-		f.keepContact(ctx, rand.New(rand.NewPCG(f.rng.Uint64(), 1)))
+		f.keepContact(ctx, forContact)
 	}()
-	f.followConfiguration(ctx, rand.New(rand.NewPCG(f.rng.Uint64(), 2)))
+	f.followConfiguration(ctx, forConfiguration)
 	<-done
 }
 
--- a/lib/store/store_test.go
+++ b/lib/store/store_test.go
@@ -112,8 +112,8 @@
 	}()
 	must.NoError(t, clock.BlockUntilContext(ctx, 1))
 	select {
-	case <-done:
-		t.Fatal("a call above the budget did not wait")
+	case err := <-done:
+		t.Fatalf("a call above the budget did not wait: %v", err)
 	default:
 	}
 	clock.Advance(time.Second)
@@ -147,7 +147,7 @@
 	f.SetDuty(true, true, true)
 	must.Eq(t, document.Revision(0), (<-documents).Revision())
 	s.Inject(standin.Faults().Down(true))
-	<-failures
+	must.Error(t, <-failures)
 	s.Inject(standin.Faults())
 	next, err := document.Empty().Apply(document.NewChange("op", "a", time.Unix(1, 0), []document.Resource{
 		document.DataCentreResource(document.NewDataCentre("dc", "r", false)),
