perf: match rules by service and work the ring out only on a change

Change: the ring is worked out after a change of the view only; services are found by the first part of the path and rules by service. The last faults are in the state dump.

--- a/lib/document/document_test.go
+++ b/lib/document/document_test.go
@@ -117,6 +117,7 @@
 		"read":          {"board.example:80", "GET", "/logview/today", "logview", document.ClassInteractive, true},
 		"case of host":  {"BOARD.example", "GET", "/logview/x", "logview", document.ClassInteractive, true},
 		"post by rule":  {"board.example", "POST", "/findings/new", "findings", document.ClassUrgent, false},
+		"general rule":  {"board.example", "GET", "/findings/x", "findings", document.ClassInteractive, true},
 		"post, no rule": {"board.example", "POST", "/logview/x", "logview", document.ClassInteractive, false},
 	}
 	for name, c := range cases {
--- a/lib/document/effective.go
+++ b/lib/document/effective.go
@@ -70,7 +70,9 @@
 type EffectiveRule struct {
 	name    string
 	sourced map[Field]Sourced
-	policy  Policy
+
+	policy   Policy
+	priority int
 }
 
 // Name returns the name of the rule.
@@ -181,13 +183,7 @@
 	for name, stack := range layers {
 		out = append(out, effective(name, stack))
 	}
-	sort.Slice(out, func(i, j int) bool {
-		pi, pj := out[i].priority(), out[j].priority()
-		if pi != pj {
-			return pi > pj
-		}
-		return out[i].name < out[j].name
-	})
+	sort.Slice(out, func(i, j int) bool { return out[i].before(out[j]) })
 	return out
 }
 
@@ -208,12 +204,16 @@
 		}
 	}
 	e.policy = e.typed()
+	e.priority, _ = strconv.Atoi(e.sourced[FieldPriority].value)
 	return e
 }
 
-func (e EffectiveRule) priority() int {
-	n, _ := strconv.Atoi(e.sourced[FieldPriority].value)
-	return n
+// before orders rules by descending priority, then by name.
+func (e EffectiveRule) before(o EffectiveRule) bool {
+	if e.priority != o.priority {
+		return e.priority > o.priority
+	}
+	return e.name < o.name
 }
 
 // typed converts the written values, which were checked when the rule was
--- a/lib/document/routes.go
+++ b/lib/document/routes.go
@@ -10,11 +10,38 @@
 	revision    Revision
 	hosts       map[string]string
 	only        string
-	services    map[string][]Service
-	rules       map[string][]EffectiveRule
+	fallback    Policy
+	services    map[segment][]Service
+	rules       map[ruleSet][]EffectiveRule
 	dataCentres map[string]DataCentre
 }
 
+// segment is the first part of a path under a branch; services are found by it
+// so that a request is not compared with every service.
+type segment struct {
+	branch string
+	first  string
+}
+
+// ruleSet names the rules that may match requests for a service of a branch;
+// those for an empty service match any.
+type ruleSet struct {
+	branch  string
+	service string
+}
+
+// firstOf returns the first part of a path, "/a/" of "/a/b", or "/".
+func firstOf(path string) string {
+	if len(path) < 2 {
+		return "/"
+	}
+	end := strings.IndexByte(path[1:], '/')
+	if end < 0 {
+		return "/"
+	}
+	return path[:end+2]
+}
+
 // Match is what the configuration says about one request.
 type Match struct {
 	branch  string
@@ -34,13 +61,14 @@
 // Compile returns the routes of a document.
 func Compile(d *Document) *Routes {
 	r := &Routes{
-		revision: d.revision, hosts: map[string]string{}, services: map[string][]Service{},
-		rules: map[string][]EffectiveRule{}, dataCentres: map[string]DataCentre{},
+		revision: d.revision, fallback: DefaultPolicy(), hosts: map[string]string{}, services: map[segment][]Service{},
+		rules: map[ruleSet][]EffectiveRule{}, dataCentres: map[string]DataCentre{},
 	}
 	branches := 0
 	for _, resource := range d.Resources() {
 		if s, ok := resource.Service(); ok {
-			r.services[s.branch] = append(r.services[s.branch], s)
+			at := segment{branch: s.branch, first: firstOf(s.prefix)}
+			r.services[at] = append(r.services[at], s)
 		}
 		if dc, ok := resource.DataCentre(); ok {
 			r.dataCentres[dc.name] = dc
@@ -48,7 +76,7 @@
 		if b, ok := resource.Branch(); ok {
 			branches++
 			r.only = b.name
-			r.rules[b.name] = d.Effective(b.name)
+			r.addRules(b.name, d.Effective(b.name))
 			for _, h := range b.hosts {
 				r.hosts[strings.ToLower(h)] = b.name
 			}
@@ -63,6 +91,15 @@
 	return r
 }
 
+// addRules files each rule under the service that it names. The rules that name
+// none are filed under the empty service.
+func (r *Routes) addRules(branch string, rules []EffectiveRule) {
+	for _, e := range rules {
+		at := ruleSet{branch: branch, service: e.sourced[FieldService].value}
+		r.rules[at] = append(r.rules[at], e)
+	}
+}
+
 // Revision returns the revision that the routes were compiled from.
 func (r *Routes) Revision() Revision { return r.revision }
 
@@ -83,9 +120,11 @@
 	if !ok {
 		return Match{}, &NoRouteError{host: host, path: path}
 	}
-	for _, s := range r.services[branch] {
-		if strings.HasPrefix(path, s.prefix) {
-			return Match{branch: branch, service: s.name, policy: r.policyOf(branch, s.name, method, path)}, nil
+	for _, first := range []string{firstOf(path), "/"} {
+		for _, s := range r.services[segment{branch: branch, first: first}] {
+			if strings.HasPrefix(path, s.prefix) {
+				return Match{branch: branch, service: s.name, policy: r.policyOf(branch, s.name, method, path)}, nil
+			}
 		}
 	}
 	return Match{}, &NoRouteError{host: host, path: path}
@@ -102,13 +141,29 @@
 	return r.only, r.only != ""
 }
 
+// policyOf returns the policy of the first rule that matches, among those for
+// the service and those for any.
 func (r *Routes) policyOf(branch, service, method, path string) Policy {
-	for _, e := range r.rules[branch] {
+	own, ownFound := firstMatch(r.rules[ruleSet{branch: branch, service: service}], service, method, path)
+	general, generalFound := firstMatch(r.rules[ruleSet{branch: branch}], service, method, path)
+	switch {
+	case ownFound && generalFound && general.before(own):
+		return general.policy
+	case ownFound:
+		return own.policy
+	case generalFound:
+		return general.policy
+	}
+	return r.fallback
+}
+
+func firstMatch(rules []EffectiveRule, service, method, path string) (EffectiveRule, bool) {
+	for _, e := range rules {
 		if e.matches(service, method, path) {
-			return e.policy
+			return e, true
 		}
 	}
-	return DefaultPolicy()
+	return EffectiveRule{}, false
 }
 
 // NoRouteError reports a request that no branch or service takes.
--- a/lib/gossip/control.go
+++ b/lib/gossip/control.go
@@ -115,6 +115,7 @@
 	seededAt  time.Time
 	revivedAt time.Time
 	sequence  uint64
+	ring      ringView
 	dirty     bool
 	duty      Duty
 	synced    bool
@@ -407,12 +408,8 @@
 // among the watchers and contacts of its data centre. Two views may both say
 // yes for a while; that costs calls and harms nothing.
 func (c *Control) decideDuty() {
-	self := c.table.Self()
-	duty := Duty{
-		watch:   contains(c.table.Chosen("watch", self.DataCentre(), watchersPerDC), self.Name()),
-		contact: contains(c.table.Chosen("contact", self.DataCentre(), contactsPerDC), self.Name()),
-		alone:   len(c.links) == 0,
-	}
+	duty := c.ring.duty
+	duty.alone = len(c.links) == 0
 	if duty != c.duty {
 		c.duty = duty
 		c.hooks.duty(duty)
--- a/lib/gossip/links.go
+++ b/lib/gossip/links.go
@@ -115,8 +115,9 @@
 // side needs, and looks for lost nodes from time to time.
 func (c *Control) keepRing(ctx context.Context) {
 	now := c.clock.Now()
+	c.refreshRing()
 	wanted := map[string]bool{}
-	for _, n := range c.table.Neighbours() {
+	for _, n := range c.ring.neighbours {
 		wanted[n.Name()] = true
 		c.dial(ctx, n.Name(), n.Control())
 	}
@@ -135,6 +136,29 @@
 	}
 }
 
+// ringView is what follows from the view alone. It is worked out again only
+// after a change of the view, since it sorts all nodes.
+type ringView struct {
+	changes    uint64
+	neighbours []member.Claim
+	duty       Duty
+}
+
+func (c *Control) refreshRing() {
+	if c.ring.changes == c.table.Changes() {
+		return
+	}
+	self := c.table.Self()
+	c.ring = ringView{
+		changes:    c.table.Changes(),
+		neighbours: c.table.Neighbours(),
+		duty: Duty{
+			watch:   contains(c.table.Chosen("watch", self.DataCentre(), watchersPerDC), self.Name()),
+			contact: contains(c.table.Chosen("contact", self.DataCentre(), contactsPerDC), self.Name()),
+		},
+	}
+}
+
 func (c *Control) dialSeeds(ctx context.Context) {
 	c.synced = len(c.seeds) == 0
 	for i, at := range c.rng.Perm(len(c.seeds)) {
--- a/lib/member/digest.go
+++ b/lib/member/digest.go
@@ -64,6 +64,7 @@
 	b[16] = byte(c.status)
 	_, _ = d.Write(b[:])
 	t.digests[bucketOf(c.name)] ^= d.Sum64()
+	t.changes++
 }
 
 func bucketOf(name string) int { return int(xxhash.Sum64String(name) % Buckets) }
--- a/lib/member/member.go
+++ b/lib/member/member.go
@@ -164,6 +164,7 @@
 	superseded bool
 	records    map[string]*record
 	digests    [Buckets]uint64
+	changes    uint64
 }
 
 // NewTable returns a view that knows only the node itself.
@@ -183,6 +184,9 @@
 // Superseded reports whether a later process runs under this node's name.
 func (t *Table) Superseded() bool { return t.superseded }
 
+// Changes returns a number that grows with every change of the view.
+func (t *Table) Changes() uint64 { return t.changes }
+
 // Len returns how many nodes are known, itself and failed ones included.
 func (t *Table) Len() int { return len(t.records) }
 
--- /dev/null
+++ b/savorygap-bench/internal/sizes/sizes.go
@@ -0,0 +1,207 @@
+// Package sizes measures what a node's state takes at fleet sizes that no one
+// machine runs, on the program's own data structures.
+package sizes
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"runtime"
+	"text/tabwriter"
+	"time"
+
+	"savorygap.example/lib/balance"
+	"savorygap.example/lib/chart"
+	"savorygap.example/lib/document"
+	"savorygap.example/lib/gossip"
+	"savorygap.example/lib/load"
+	"savorygap.example/lib/member"
+	"savorygap.example/lib/wire"
+)
+
+const (
+	perService  = 6 // targets, rounded up from 5,100 over 900
+	dataCentres = 8
+	rounds      = 20
+	picks       = 20_000
+)
+
+// Run prints memory, bytes and processor time at each number of nodes.
+func Run(w io.Writer, nodes []int) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "NODES\tVIEW KiB\tTARGETS KiB\tCLAIM B\tMERGE us\tRING ms\tPICK us\tDOCUMENT KiB\tCOMPRESSED KiB\tDELTA B\tCOMPILE ms\tROUTES KiB")
+	for _, n := range nodes {
+		if err := row(t, n); err != nil {
+			return err
+		}
+	}
+	return t.Flush()
+}
+
+func row(w io.Writer, n int) error {
+	view, viewBytes, mergeTime, err := buildView(n)
+	if err != nil {
+		return err
+	}
+	claim, err := gossip.Encode(gossip.ClaimsMessage([]member.Claim{claimOf(1)}))
+	if err != nil {
+		return err
+	}
+	ring := timed(rounds, func() {
+		view.Neighbours()
+		view.Chosen("watch", "dc-0", 2)
+		view.Chosen("contact", "dc-0", 3)
+	})
+	tableBytes, pick := measureTargets(n)
+	d, err := measureDocument(n)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "%d\t%d\t%d\t%d\t%.1f\t%.2f\t%.2f\t%d\t%d\t%d\t%.2f\t%d\n", n, viewBytes>>10, tableBytes>>10, len(claim),
+		micros(mergeTime)/float64(n), micros(ring)/1000, micros(pick), d.plain>>10, d.compressed>>10, d.delta, micros(d.compile)/1000, d.routes>>10)
+	runtime.KeepAlive(view)
+	return nil
+}
+
+func micros(d time.Duration) float64 { return float64(d.Nanoseconds()) / 1000 }
+
+func timed(times int, run func()) time.Duration {
+	started := time.Now()
+	for range times {
+		run()
+	}
+	return time.Since(started) / time.Duration(times)
+}
+
+// heap returns the bytes of live heap.
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func claimOf(i int) member.Claim {
+	name := fmt.Sprintf("host-%04d.dc-%d", i, i%dataCentres)
+	address := fmt.Sprintf("10.%d.%d.%d", i%dataCentres, i/250, i%250)
+	server := member.NewServer(fmt.Sprintf("service-%03d", i/perService), address+":8000", 12, time.Unix(1_700_000_000, 0))
+	return member.NewClaim(name, 1_700_000_000_000_000_000+uint64(i), address+":7001", address+":7002", fmt.Sprintf("dc-%d", i%dataCentres), "region-1").
+		WithServers([]member.Server{server})
+}
+
+func buildView(n int) (*member.Table, uint64, time.Duration, error) {
+	set, err := chart.Embedded()
+	if err != nil {
+		return nil, 0, 0, err
+	}
+	memberChart, err := set.Chart("member")
+	if err != nil {
+		return nil, 0, 0, err
+	}
+	before := heap()
+	now := time.Unix(1_700_000_000, 0)
+	view, err := member.NewTable(memberChart, claimOf(0), now)
+	if err != nil {
+		return nil, 0, 0, err
+	}
+	started := time.Now()
+	for i := 1; i < n; i++ {
+		view.Merge(now, claimOf(i))
+	}
+	took := time.Since(started)
+	return view, heap() - before, took, nil
+}
+
+func measureTargets(n int) (uint64, time.Duration) {
+	before := heap()
+	here := balance.NewPlace("host", "dc-0", "region-1")
+	table := balance.NewTable(balance.Adaptive, rand.New(rand.NewPCG(1, 1)), here)
+	targets := make([]balance.Target, 0, n)
+	for i := range n {
+		c := claimOf(i)
+		s := c.Servers()[0]
+		place := balance.NewPlace(c.Name(), c.DataCentre(), c.Region())
+		targets = append(targets, balance.NewTarget(balance.NewID(c.Name(), s.Address()), s.Service(), c.Calls(), place, s.Slots(), s.Since()))
+	}
+	table.Replace(targets)
+	used := heap() - before
+	now := time.Now()
+	open := func(balance.Target) bool { return true }
+	pick := timed(picks, func() {
+		if t, ok := table.Pick(now, "service-000", open, nil); ok {
+			table.Settle(now, t.ID(), balance.Answered, load.NewReport(12, 3, 0, time.Millisecond), true)
+		}
+	})
+	runtime.KeepAlive(targets)
+	return used, pick
+}
+
+// documentFigures is the size of a configuration and what using it costs.
+type documentFigures struct {
+	plain      int
+	compressed int
+	delta      int
+	compile    time.Duration
+	routes     uint64
+}
+
+// measureDocument builds a configuration with one service for every perService
+// nodes and two rules for each service.
+func measureDocument(n int) (documentFigures, error) {
+	var f documentFigures
+	d, err := buildDocument((n + perService - 1) / perService)
+	if err != nil {
+		return f, err
+	}
+	value, err := wire.EncodeDocument(d)
+	if err != nil {
+		return f, err
+	}
+	f.compressed = len(value)
+	for _, r := range d.Resources() {
+		raw, err := wire.EncodeResource(r)
+		if err != nil {
+			return f, err
+		}
+		f.plain += len(raw)
+	}
+	next, err := d.Apply(document.NewChange("0190a0b0-0000-7000-8000-000000000000", "an operator", time.Unix(1, 0), []document.Resource{
+		document.ServiceResource(document.NewService("service-000", "branch", "/service-000-moved/")),
+	}, nil))
+	if err != nil {
+		return f, err
+	}
+	delta, err := gossip.Encode(gossip.DeltaMessage(next.Since(d)))
+	if err != nil {
+		return f, err
+	}
+	f.delta = len(delta)
+	before := heap()
+	routes := document.Compile(d)
+	f.routes = heap() - before
+	f.compile = timed(rounds, func() { document.Compile(d) })
+	runtime.KeepAlive(routes)
+	return f, nil
+}
+
+func buildDocument(services int) (*document.Document, error) {
+	var rules []document.Rule
+	var puts []document.Resource
+	for i := range services {
+		name := fmt.Sprintf("service-%03d", i)
+		for _, kind := range []string{"reads", "writes"} {
+			rule, err := document.NewRule(name+"-"+kind, map[document.Field]string{
+				document.FieldService: name, document.FieldMethods: "GET,POST", document.FieldClass: "interactive",
+				document.FieldTimeout: "2500ms", document.FieldRetries: "2",
+			})
+			if err != nil {
+				return nil, err
+			}
+			rules = append(rules, rule)
+		}
+		puts = append(puts, document.ServiceResource(document.NewService(name, "branch", "/"+name+"/")))
+	}
+	puts = append(puts, document.BranchResource(document.NewBranch("branch", []string{"branch.example"}, rules)))
+	return document.Empty().Apply(document.NewChange("op", "an operator", time.Unix(1, 0), puts, nil))
+}
--- a/savorygapd/internal/control/control.go
+++ b/savorygapd/internal/control/control.go
@@ -58,7 +58,7 @@
 		func(d *document.Document) { p.Control().Accept(d) },
 		func(list []store.ContactForm) { p.Control().SetSeeds(seeds(t.Peers(), list)) },
 		func(call string, err error) {
-			_ = level.Warn(p.Logger()).Log("event", "store", "call", call, "error", err)
+			p.Fault("store", call, err.Error())
 		})
 	self := store.ContactForm{Name: t.Host(), Control: t.Advertise().Control()}
 	return store.NewFollower(p.Store(), p.Clock(), rand.New(rand.NewPCG(rng.Uint64(), 0)), self, t.DataCentre(), hooks)
@@ -87,9 +87,7 @@
 		},
 		func(duty gossip.Duty) { follower.SetDuty(duty.Watch(), duty.Contact(), duty.Alone()) },
 		func(ctx context.Context, name, calls string) bool { return reach(ctx, p, name, calls) },
-		func(event, peer, reason string) {
-			_ = level.Warn(p.Logger()).Log("event", event, "peer", peer, "error", reason)
-		})
+		p.Fault)
 }
 
 // reach reports whether a node accepts a connection for calls.
--- a/savorygapd/internal/process/process.go
+++ b/savorygapd/internal/process/process.go
@@ -51,6 +51,7 @@
 	control  *gossip.Control
 	store    *store.Client
 
+	faults    *faultRecord
 	machine   *chart.Machine
 	signals   chan chart.Event
 	ready     chan chan bool
@@ -69,6 +70,8 @@
 		epoch: clock.Now(), ctx: ctx, cancel: cancel, draining: make(chan struct{}),
 		running: make(chan struct{}, maxTasks), signals: make(chan chart.Event, signalBuffer), ready: make(chan chan bool),
 	}
+	p.faults = newFaultRecord()
+	p.Go(p.faults.run)
 	return p, p.startMachine()
 }
 
--- a/savorygapd/internal/statedump/statedump.go
+++ b/savorygapd/internal/statedump/statedump.go
@@ -30,6 +30,15 @@
 	Targets       []Target      `json:"targets"`
 	Budgets       []Budget      `json:"budgets"`
 	Keys          Keys          `json:"keys"`
+	Faults        []Fault       `json:"lastFaults"`
+}
+
+// Fault is something that went wrong and was dealt with.
+type Fault struct {
+	At     time.Time `json:"at"`
+	Event  string    `json:"event"`
+	Peer   string    `json:"peer"`
+	Reason string    `json:"reason"`
 }
 
 // Configuration is the state of the configuration.
@@ -124,8 +133,17 @@
 		Configuration: Configuration{State: string(control.Config()), Revision: uint64(control.Revision()), Highest: uint64(control.Highest())},
 		Control:       controlForm(control), Members: memberForms(control),
 		Servers: serverForms(ctx, p), Targets: targetForms(p.Clock().Now(), router), Budgets: budgetForms(router),
-		Keys: Keys{Remembered: ledger.Keys(), Bytes: ledger.Bytes()},
+		Keys:   Keys{Remembered: ledger.Keys(), Bytes: ledger.Bytes()},
+		Faults: faultForms(ctx, p),
+	}
+}
+
+func faultForms(ctx context.Context, p *process.Process) []Fault {
+	out := []Fault{}
+	for _, f := range p.Faults(ctx) {
+		out = append(out, Fault{At: f.At(), Event: f.Event(), Peer: f.Peer(), Reason: f.Reason()})
 	}
+	return out
 }
 
 func controlForm(d gossip.Dump) Control {
