feat(bench): tell the spread of a change from the time to accept it

Cause: in force took 545 ms at 8 nodes and 48 ms at 72; the first figure holds the wait of the operator's node for its budget of store calls. Change: the spread from the first to the last node is a column of its own; the heap grows to 200% in place of 400% before it is collected.

--- a/savorygap-bench/internal/fleet/logs.go
+++ b/savorygap-bench/internal/fleet/logs.go
@@ -8,20 +8,22 @@
 	"time"
 )
 
-// LastInForce reads the nodes' logs and returns when the last of them put the
-// revision, or a later one, in force.
-func (f *Fleet) LastInForce(revision uint64) (time.Time, error) {
-	var last time.Time
+// InForce reads the nodes' logs and returns when the first and the last of them
+// put the revision, or a later one, in force.
+func (f *Fleet) InForce(revision uint64) (first, last time.Time, err error) {
 	for _, h := range f.hosts {
 		at, err := f.inForceAt(h, revision)
 		if err != nil {
-			return last, err
+			return first, last, err
 		}
 		if at.After(last) {
 			last = at
 		}
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
 	}
-	return last, nil
+	return first, last, nil
 }
 
 func (f *Fleet) inForceAt(h *Host, revision uint64) (time.Time, error) {
--- a/savorygap-bench/internal/scale/scale.go
+++ b/savorygap-bench/internal/scale/scale.go
@@ -55,6 +55,7 @@
 	reads      float64 // calls a second of the whole fleet
 	writes     float64 // calls a second of the whole fleet
 	inForce    time.Duration
+	spread     time.Duration
 	detected   time.Duration
 	suspicions uint64
 }
@@ -68,7 +69,7 @@
 	}
 	defer binary.Remove()
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(t, "NODES\tJOINED\tSENT B/s\tRECEIVED B/s\tCPU %\tRESIDENT MiB\tHEAP MiB\tLINKS\tSTORE READS/s\tSTORE WRITES/s\tIN FORCE\tDETECTED\tFALSE SUSPICIONS")
+	fmt.Fprintln(t, "NODES\tJOINED\tSENT B/s\tRECEIVED B/s\tCPU %\tRESIDENT MiB\tHEAP MiB\tLINKS\tSTORE READS/s\tSTORE WRITES/s\tIN FORCE\tSPREAD\tDETECTED\tFALSE SUSPICIONS")
 	var rows []Row
 	for i, n := range o.sizes {
 		row, err := measure(ctx, n, subnet+i, o.idle, binary.Path())
@@ -76,9 +77,9 @@
 			return fmt.Errorf("%d nodes: %w", n, err)
 		}
 		rows = append(rows, row)
-		fmt.Fprintf(t, "%d\t%s\t%.0f\t%.0f\t%.2f\t%.1f\t%.1f\t%.1f\t%.2f\t%.2f\t%s\t%s\t%d\n", row.nodes, row.join.Round(time.Millisecond),
+		fmt.Fprintf(t, "%d\t%s\t%.0f\t%.0f\t%.2f\t%.1f\t%.1f\t%.1f\t%.2f\t%.2f\t%s\t%s\t%s\t%d\n", row.nodes, row.join.Round(time.Millisecond),
 			row.sent, row.received, row.processor, row.resident, row.heap, row.links, row.reads, row.writes,
-			row.inForce.Round(time.Millisecond), row.detected.Round(samplePeriod), row.suspicions)
+			row.inForce.Round(time.Millisecond), row.spread.Round(time.Millisecond), row.detected.Round(samplePeriod), row.suspicions)
 	}
 	if err := t.Flush(); err != nil {
 		return err
@@ -141,10 +142,11 @@
 		if _, err := f.AwaitRevision(ctx, revision, settleLimit); err != nil {
 			return err
 		}
-		last, err := f.LastInForce(revision)
+		first, last, err := f.InForce(revision)
 		if err != nil {
 			return err
 		}
+		r.spread = max(r.spread, last.Sub(first))
 		r.inForce = max(r.inForce, last.Sub(started))
 	}
 	_, err = f.Apply(ctx, document.DataCentreResource(document.NewDataCentre("dc-0", "region-0", false)))
@@ -246,7 +248,7 @@
 		{"resident MiB", func(r Row) float64 { return r.resident }},
 		{"heap MiB", func(r Row) float64 { return r.heap }},
 		{"links", func(r Row) float64 { return r.links }},
-		{"in force ms", func(r Row) float64 { return float64(r.inForce.Milliseconds()) }},
+		{"spread ms", func(r Row) float64 { return float64(r.spread.Milliseconds()) }},
 	}
 	if len(rows) < 2 {
 		return
--- a/savorygapd/cmd/run.go
+++ b/savorygapd/cmd/run.go
@@ -19,7 +19,7 @@
 
 const (
 	signalBuffer = 4
-	collectAt    = 400      // percent of the live heap
+	collectAt    = 200      // percent of the live heap
 	memoryLimit  = 48 << 20 // bytes, from which collection is more frequent
 )
 
