--- a/lib/attempt/call.go
+++ b/lib/attempt/call.go
@@ -39,6 +39,8 @@
 	keyCreated time.Time
 	inquiry    bool
 	hold       bool
+	trailers   []string
+	trailer    func() http.Header
 	granted    func()
 	revision   document.Revision
 }
@@ -90,6 +92,25 @@
 	return c
 }
 
+// WithTrailers returns the call with trailer fields of the given names; trailer
+// yields their values once the body was read to its end.
+func (c Call) WithTrailers(names []string, trailer func() http.Header) Call {
+	c.trailers = names
+	c.trailer = trailer
+	return c
+}
+
+// Trailers returns the names of the trailer fields.
+func (c Call) Trailers() []string { return c.trailers }
+
+// Trailer returns the trailer fields, once the body was read to its end.
+func (c Call) Trailer() http.Header {
+	if c.trailer == nil {
+		return nil
+	}
+	return c.trailer()
+}
+
 // OnGranted returns the call with a function that the target runs, in the
 // goroutine that makes the attempt, when the request is about to be written.
 func (c Call) OnGranted(granted func()) Call {
--- a/lib/caller/handler.go
+++ b/lib/caller/handler.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -348,6 +350,9 @@
 	if body.streams() {
 		c = c.Holding()
 	}
+	if len(q.in.Trailer) > 0 {
+		c = c.WithTrailers(slices.Sorted(maps.Keys(q.in.Trailer)), func() http.Header { return q.in.Trailer })
+	}
 	if q.keyed() {
 		c = c.WithKey(q.demands.key, q.demands.created)
 	}
--- a/lib/node/client.go
+++ b/lib/node/client.go
@@ -121,7 +121,7 @@
 		return err
 	}
 	if call.Length() == 0 || body == nil {
-		return r.sendEnd(newTally())
+		return r.sendEnd(newTally(), nil)
 	}
 	if err := r.stream.writer.Flush(); err != nil {
 		return err
@@ -141,8 +141,8 @@
 	}
 }
 
-func (r *Reply) sendEnd(t tally) error {
-	end := NewEnd(t.length, t.hash.Sum64(), nil, load.Report{})
+func (r *Reply) sendEnd(t tally, trailer http.Header) error {
+	end := NewEnd(t.length, t.hash.Sum64(), trailer, load.Report{})
 	if err := r.stream.sendNow(frameEnd, EncodeEnd(end)); err != nil {
 		return err
 	}
@@ -175,7 +175,7 @@
 		r.stream.Close()
 		return outcome.NewCut(t.length, io.ErrUnexpectedEOF)
 	}
-	return r.sendEnd(t)
+	return r.sendEnd(t, call.Trailer())
 }
 
 func (r *Reply) readHead() error {
--- a/lib/node/codec.go
+++ b/lib/node/codec.go
@@ -65,7 +65,11 @@
 	}
 	b = field.AppendUint(b, 16, uint64(c.Revision()))
 	b = field.AppendBool(b, 17, c.Inquiry())
-	return field.AppendBool(b, 18, c.Hold())
+	b = field.AppendBool(b, 18, c.Hold())
+	for _, name := range c.Trailers() {
+		b = field.AppendString(b, 19, name)
+	}
+	return b
 }
 
 // callFields collects the decoded fields of a call.
@@ -81,6 +85,7 @@
 	keyCreated       time.Time
 	revision         document.Revision
 	inquiry, hold    bool
+	trailers         []string
 }
 
 // DecodeCall reads the payload of a call. It skips unknown fields and returns
@@ -114,6 +119,8 @@
 		return decodePair(f.header, v.Bytes())
 	case 14:
 		f.key = string(v.Bytes())
+	case 19:
+		f.trailers = append(f.trailers, string(v.Bytes()))
 	default:
 		f.setNumber(n, v.Number())
 	}
@@ -153,6 +160,9 @@
 	if f.key != "" {
 		c = c.WithKey(f.key, f.keyCreated)
 	}
+	if len(f.trailers) > 0 {
+		c = c.WithTrailers(f.trailers, nil)
+	}
 	if f.hold {
 		c = c.Holding()
 	}
--- a/lib/node/node_test.go
+++ b/lib/node/node_test.go
@@ -102,15 +102,18 @@
 		must.Eq(t, "/logview/x?y=1", c.URI())
 		c.Granted()
 		if body == nil {
-			body = strings.NewReader("")
+			return answerOf(strings.NewReader(""), -1), nil
 		}
-		return answerOf(body, -1), nil
+		text, err := io.ReadAll(body)
+		must.NoError(t, err)
+		must.Eq(t, "7", c.Trailer().Get("X-Sum"))
+		return answerOf(bytes.NewReader(text), -1), nil
 	})
 	transports(t, echo, func(t *testing.T, p pair) {
 		for _, size := range []int{0, 1, 40_000, 3 << 20} {
 			for _, hold := range []bool{false, true} {
 				sent := bytes.Repeat([]byte("x"), size)
-				c := call(int64(size))
+				c := call(int64(size)).WithTrailers([]string{"X-Sum"}, func() http.Header { return http.Header{"X-Sum": {"7"}} })
 				if hold {
 					c = c.Holding()
 				}
--- a/lib/node/relay.go
+++ b/lib/node/relay.go
@@ -20,7 +20,8 @@
 		if i.call.Length() != 0 {
 			body = i.body
 		}
-		answer, err := run(ctx, i.call.OnGranted(i.Continue), body)
+		call := i.call.OnGranted(i.Continue).WithTrailers(i.call.Trailers(), i.Trailer)
+		answer, err := run(ctx, call, body)
 		if err != nil {
 			relayError(i, err)
 			return
--- a/lib/node/serve.go
+++ b/lib/node/serve.go
@@ -32,6 +32,10 @@
 // peer broke off.
 func (i *Incoming) Body() io.Reader { return i.body }
 
+// Trailer returns the trailer fields of the request, once the body was read to
+// its end.
+func (i *Incoming) Trailer() http.Header { return i.body.trailer }
+
 // Answer sends the head of the answer.
 func (i *Incoming) Answer(h Head) error {
 	i.headed = true
@@ -99,11 +103,14 @@
 	rest   []byte
 	failed error
 	ctx    context.Context
+
+	trailer http.Header
 }
 
 type bodyPart struct {
-	bytes []byte
-	err   error
+	bytes   []byte
+	err     error
+	trailer http.Header
 }
 
 // Read implements io.Reader.
@@ -114,7 +121,7 @@
 		}
 		select {
 		case part := <-b.parts:
-			b.rest, b.failed = part.bytes, part.err
+			b.rest, b.failed, b.trailer = part.bytes, part.err, part.trailer
 		case <-b.ctx.Done():
 			b.failed = outcome.NewCut(0, b.ctx.Err())
 		}
@@ -256,7 +263,7 @@
 	if err != nil {
 		return err
 	}
-	t.body.offer(bodyPart{err: io.EOF})
+	t.body.offer(bodyPart{err: io.EOF, trailer: end.trailer})
 	return nil
 }
 
--- a/lib/server/runner.go
+++ b/lib/server/runner.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -224,6 +225,7 @@
 	}
 	if c.Length() != 0 && body != nil {
 		request.Body = io.NopCloser(body)
+		addTrailers(request, c)
 	}
 	request.Header.Set(HeaderRequestID, c.RequestID())
 	request.Header.Set(HeaderDepth, strconv.Itoa(c.Depth()))
@@ -234,6 +236,34 @@
 	return request, nil
 }
 
+// addTrailers announces the trailer fields and fills in their values when the
+// body was read to its end. HTTP/1.1 sends them after a chunked body.
+func addTrailers(request *http.Request, c attempt.Call) {
+	if len(c.Trailers()) == 0 {
+		return
+	}
+	request.ContentLength = -1
+	request.Trailer = http.Header{}
+	for _, name := range c.Trailers() {
+		request.Trailer[http.CanonicalHeaderKey(name)] = nil
+	}
+	body := request.Body
+	request.Body = io.NopCloser(readerFunc(func(p []byte) (int, error) {
+		n, err := body.Read(p)
+		if errors.Is(err, io.EOF) {
+			for name, values := range c.Trailer() {
+				request.Trailer[name] = values
+			}
+		}
+		return n, err
+	}))
+}
+
+type readerFunc func([]byte) (int, error)
+
+// Read implements io.Reader.
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
 const noDeadline = time.Hour
 
 func remaining(ctx context.Context, now time.Time) time.Duration {
--- a/lib/server/server_test.go
+++ b/lib/server/server_test.go
@@ -109,6 +109,19 @@
 	}
 }
 
+func TestTrailersOfARequestReachTheServer(t *testing.T) {
+	h := start(t)
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, r.Trailer.Get("X-Sum"))
+	})
+	h.announce(t, address, "i", false)
+	c := call(address, "POST", -1).WithTrailers([]string{"X-Sum"}, func() http.Header { return http.Header{"X-Sum": {"42"}} })
+	a, err := h.runner.Run(h.ctx, c, strings.NewReader("body"))
+	must.NoError(t, err)
+	must.Eq(t, "42", finish(t, a))
+}
+
 // A server that takes a request and closes the connection without an answer may
 // have run it: the outcome is unknown and the request is not written again,
 // also on a connection that had been idle.
--- a/savorygapd/internal/callers/callers.go
+++ b/savorygapd/internal/callers/callers.go
@@ -56,7 +56,7 @@
 		return err
 	}
 	handler := caller.NewHandler(p.Clock(), requestChart, p.Router(), run(p), observe)
-	server := newServer(t.Bounds(), whenReady(p, handler))
+	server := NewServer(t.Bounds(), whenReady(p, handler))
 	p.OnDrain(func(ctx context.Context) { _ = server.Shutdown(ctx) })
 	p.Go(func(ctx context.Context) {
 		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
@@ -68,7 +68,9 @@
 	return nil
 }
 
-func newServer(b settings.Bounds, handler http.Handler) *http.Server {
+// NewServer returns the HTTP server for callers, in clear text over HTTP/1.1 and
+// HTTP/2, with the bounds in the settings.
+func NewServer(b settings.Bounds, handler http.Handler) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
