--- a/lib/store/follower.go
+++ b/lib/store/follower.go
@@ -178,6 +178,7 @@
 	lease    LeaseID
 	listed   time.Time
 	kept     time.Time
+	renewed  time.Time
 	lonely   int
 	failures int
 }
@@ -231,9 +232,13 @@
 	if !s.duty.keep && !s.duty.alone && !s.listed.IsZero() {
 		return nil
 	}
-	if err := f.listContacts(ctx); err != nil {
+	listed, err := f.listContacts(ctx)
+	if err != nil {
 		return err
 	}
+	if !listed {
+		s.renewed = time.Time{}
+	}
 	s.listed = f.clock.Now()
 	return nil
 }
@@ -241,32 +246,45 @@
 // holdEntry renews the lease of the contact entry, or writes the entry anew
 // when the lease lapsed.
 func (f *Follower) holdEntry(ctx context.Context, s *contactState) error {
+	if s.lease != "" && f.clock.Now().Sub(s.renewed) < contactRenewal/2 {
+		return nil
+	}
 	if s.lease != "" {
 		err := f.client.Renew(ctx, s.lease)
 		var lapsed *LapsedError
 		if !errors.As(err, &lapsed) {
+			s.renewed = f.clock.Now()
 			return err
 		}
 		s.lease = ""
 	}
+	s.renewed = f.clock.Now()
 	s.kept = f.clock.Now()
 	return f.writeContact(ctx, &s.lease)
 }
 
-func (f *Follower) listContacts(ctx context.Context) error {
+// listContacts passes the other nodes' entries on and reports whether this
+// node's own entry is among them.
+func (f *Follower) listContacts(ctx context.Context) (bool, error) {
 	entries, err := f.client.List(ctx, ContactPrefix)
 	if err != nil {
-		return err
+		return false, err
 	}
+	listed := false
 	contacts := make([]ContactForm, 0, len(entries))
 	for _, e := range entries {
 		var c ContactForm
-		if json.Unmarshal(e.Value(), &c) == nil && c.Name != "" && c.Name != f.self.Name {
-			contacts = append(contacts, c)
+		if json.Unmarshal(e.Value(), &c) != nil || c.Name == "" {
+			continue
+		}
+		if c.Name == f.self.Name {
+			listed = true
+			continue
 		}
+		contacts = append(contacts, c)
 	}
 	f.hooks.contacts(contacts)
-	return nil
+	return listed, nil
 }
 
 func (f *Follower) writeContact(ctx context.Context, lease *LeaseID) error {
