feat(store): spread the first calls of a node over a start jitter

Cause: CAPACITY.md worked out that all nodes started in one second read the store 10,200 times in that second. Change: store.startJitter, 1 s by default, delays a node's first calls by a random part of it; two fleets of scenarios run at once at most.

--- a/lib/store/follower.go
+++ b/lib/store/follower.go
@@ -61,6 +61,7 @@
 	client  *Client
 	clock   clockwork.Clock
 	rng     *rand.Rand
+	jitter  time.Duration
 	self    ContactForm
 	place   string
 	hooks   FollowerHooks
@@ -82,6 +83,13 @@
 	alone bool
 }
 
+// WithStartJitter returns the follower with its first calls delayed by a random
+// part of d, so that many nodes that start together do not call at once.
+func (f *Follower) WithStartJitter(d time.Duration) *Follower {
+	f.jitter = d
+	return f
+}
+
 // SetDuty states whether this node watches the configuration, whether it keeps
 // a contact entry, and whether it has no peer and so looks for contacts. It has
 // one caller at a time.
@@ -92,6 +100,13 @@
 
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	if f.jitter > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.clock.After(time.Duration(f.rng.Int64N(int64(f.jitter)))):
+		}
+	}
 	done := make(chan struct{})
 	forContact := rand.New(rand.NewPCG(f.rng.Uint64(), 1))
 	forConfiguration := rand.New(rand.NewPCG(f.rng.Uint64(), 2))
--- a/savorygap-bench/scenario/scenario.go
+++ b/savorygap-bench/scenario/scenario.go
@@ -45,8 +45,13 @@
 	running map[string]chan *load.Result
 	results map[string]*load.Result
 	seed    uint64
+	holds   bool
 }
 
+// fleets bounds how many fleets run at once, so that scenarios run side by side
+// do not starve each other.
+var fleets = make(chan struct{}, 2)
+
 // nextNet numbers the address ranges of the fleets in one process.
 var nextNet atomic.Int32
 
@@ -61,6 +66,9 @@
 				if s.fleet != nil {
 					s.fleet.Stop()
 				}
+				if s.holds {
+					<-fleets
+				}
 			})
 			return nil
 		},
@@ -75,6 +83,8 @@
 
 func startFleet(ts *testscript.TestScript, _ bool, _ []string) {
 	s := stateOf(ts)
+	fleets <- struct{}{}
+	s.holds = true
 	f, err := demo.StartOn(context.Background(), ts.Stdout(), firstNet+int(nextNet.Add(1)))
 	ts.Check(err)
 	s.fleet = f
--- a/savorygapd/internal/control/control.go
+++ b/savorygapd/internal/control/control.go
@@ -61,7 +61,8 @@
 			p.Fault("store", call, err.Error())
 		})
 	self := store.ContactForm{Name: t.Host(), Control: t.Advertise().Control()}
-	return store.NewFollower(p.Store(), p.Clock(), rand.New(rand.NewPCG(rng.Uint64(), 0)), self, t.DataCentre(), hooks)
+	follower := store.NewFollower(p.Store(), p.Clock(), rand.New(rand.NewPCG(rng.Uint64(), 0)), self, t.DataCentre(), hooks)
+	return follower.WithStartJitter(t.Store().StartJitter())
 }
 
 func seeds(configured []settings.Peer, found []store.ContactForm) []gossip.Contact {
--- a/savorygapd/internal/settings/defaults.go
+++ b/savorygapd/internal/settings/defaults.go
@@ -14,7 +14,10 @@
 }
 
 // SetStoreBudget sets the budget of calls to the store where it is not set.
-func (t *Tree) SetStoreBudget(reads, writes float64, burst int) {
+func (t *Tree) SetStoreBudget(reads, writes float64, burst int, startJitter time.Duration) {
+	if t.store.jitter == 0 {
+		t.store.jitter = startJitter
+	}
 	if t.store.reads == 0 {
 		t.store.reads = reads
 	}
--- a/savorygapd/internal/settings/file.go
+++ b/savorygapd/internal/settings/file.go
@@ -46,6 +46,8 @@
 	Reads   float64 `yaml:"readsPerSecond"`
 	Writes  float64 `yaml:"writesPerSecond"`
 	Burst   int     `yaml:"burst"`
+
+	StartJitter time.Duration `yaml:"startJitter"`
 }
 
 type fileTLS struct {
@@ -110,7 +112,7 @@
 			local: f.Listen.Local, operators: f.Listen.Operators,
 		},
 		advertise: Addresses{calls: f.Advertise.Calls, control: f.Advertise.Control},
-		store:     Store{address: f.Store.Address, reads: f.Store.Reads, writes: f.Store.Writes, burst: f.Store.Burst},
+		store:     Store{address: f.Store.Address, reads: f.Store.Reads, writes: f.Store.Writes, burst: f.Store.Burst, jitter: f.Store.StartJitter},
 		tls:       TLS{authorities: f.TLS.Authorities, certificate: f.TLS.Certificate, key: f.TLS.Key},
 		policy:    f.Balance.Policy, transport: f.Calls.Transport, logLevel: f.Log.Level,
 		drain:  Drain{linger: f.Drain.Linger, timeout: f.Drain.Timeout},
@@ -131,7 +133,7 @@
 			Local: t.listen.local, Operators: t.listen.operators,
 		},
 		Advertise: fileAdvertise{Calls: t.advertise.calls, Control: t.advertise.control},
-		Store:     fileStore{Address: t.store.address, Reads: t.store.reads, Writes: t.store.writes, Burst: t.store.burst},
+		Store:     fileStore{Address: t.store.address, Reads: t.store.reads, Writes: t.store.writes, Burst: t.store.burst, StartJitter: t.store.jitter},
 		TLS:       fileTLS{Authorities: t.tls.authorities, Certificate: t.tls.certificate, Key: t.tls.key},
 		Balance:   fileBalance{Policy: t.policy},
 		Calls:     fileCalls{Transport: t.transport},
--- a/savorygapd/internal/settings/tree.go
+++ b/savorygapd/internal/settings/tree.go
@@ -104,6 +104,7 @@
 	reads   float64
 	writes  float64
 	burst   int
+	jitter  time.Duration
 }
 
 // Address returns the base URL.
@@ -115,6 +116,10 @@
 // Writes returns the budget in writes a second.
 func (s Store) Writes() float64 { return s.writes }
 
+// StartJitter returns within which time after the start the first calls are
+// made.
+func (s Store) StartJitter() time.Duration { return s.jitter }
+
 // Burst returns how many calls may be made at once.
 func (s Store) Burst() int { return s.burst }
 
@@ -225,6 +230,9 @@
 	if t.store.reads <= 0 || t.store.writes <= 0 || t.store.burst < 1 {
 		return &InvalidError{field: "store", reason: "has a budget of 0; give readsPerSecond, writesPerSecond and burst above 0"}
 	}
+	if t.store.jitter < 0 {
+		return &InvalidError{field: "store.startJitter", reason: "is negative; 0s or more is wanted"}
+	}
 	if t.drain.timeout <= 0 || t.drain.linger < 0 {
 		return &InvalidError{field: "drain", reason: "has a negative time"}
 	}
--- a/savorygapd/internal/storage/storage.go
+++ b/savorygapd/internal/storage/storage.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -15,13 +16,16 @@
 	defaultReads  = 2.0 // calls a second
 	defaultWrites = 0.5 // calls a second
 	defaultBurst  = 8   // calls
+	defaultJitter = time.Second
 )
 
 // String names the step.
 func String() string { return "store" }
 
 // Default fills the settings.
-func Default(t *settings.Tree) { t.SetStoreBudget(defaultReads, defaultWrites, defaultBurst) }
+func Default(t *settings.Tree) {
+	t.SetStoreBudget(defaultReads, defaultWrites, defaultBurst, defaultJitter)
+}
 
 // Run makes the client. Every call is counted and paced.
 func Run(p *process.Process) error {
