fix(once): take back the right to run of a caller that left

Cause: read as a stranger: a caller whose deadline ended while the ledger decided left its key running for good; repeats waited and were told unknown, and the entry was never evicted. Change: the verdict that arrives late is withdrawn; a test that failed before.

--- a/lib/once/ledger.go
+++ b/lib/once/ledger.go
@@ -114,24 +114,37 @@
 // under way. When ctx ends first the verdict is Uncertain.
 func (l *Ledger) Begin(ctx context.Context, key Key, created time.Time) Verdict {
 	r := &keyRequest{key: key, created: created, reply: task.NewReply[Verdict]()}
-	return l.ask(ctx, ledgerMessage{begin: r}, r.reply)
+	v, answered := l.ask(ctx, ledgerMessage{begin: r}, r.reply)
+	if !answered {
+		go l.giveUp(key, r.reply)
+	}
+	return v
+}
+
+// giveUp takes back the right to run that was given to a caller that had left.
+func (l *Ledger) giveUp(key Key, reply task.Reply[Verdict]) {
+	if v, ok := reply.Wait(context.Background(), l.inbox.Done()); ok && v.kind == Run {
+		l.Withdraw(key)
+	}
 }
 
 // Inquire answers another node that became the home of a key.
 func (l *Ledger) Inquire(ctx context.Context, key Key, created time.Time) Verdict {
 	r := &keyRequest{key: key, created: created, reply: task.NewReply[Verdict]()}
-	return l.ask(ctx, ledgerMessage{inquire: r}, r.reply)
+	v, _ := l.ask(ctx, ledgerMessage{inquire: r}, r.reply)
+	return v
 }
 
-func (l *Ledger) ask(ctx context.Context, m ledgerMessage, reply task.Reply[Verdict]) Verdict {
+// ask reports false when ctx ended before the answer.
+func (l *Ledger) ask(ctx context.Context, m ledgerMessage, reply task.Reply[Verdict]) (Verdict, bool) {
 	if !l.inbox.Send(m) {
-		return Verdict{kind: Reject, reason: "the node is stopping"}
+		return Verdict{kind: Reject, reason: "the node is stopping"}, true
 	}
 	v, ok := reply.Wait(ctx, l.inbox.Done())
 	if !ok {
-		return Verdict{kind: Uncertain, reason: "the first run of the key has not ended"}
+		return Verdict{kind: Uncertain, reason: "the first run of the key has not ended"}, false
 	}
-	return v
+	return v, true
 }
 
 // Finish records the whole answer of a run.
--- a/lib/once/once_test.go
+++ b/lib/once/once_test.go
@@ -226,3 +226,22 @@
 	must.Eq(t, once.Replay, v.Kind())
 	must.Eq(t, "done", string(v.Record().Body()))
 }
+
+// A caller that leaves while the ledger decides does not leave its key running
+// for good.
+func TestRightToRunOfACallerThatLeftIsTakenBack(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(boot)
+	l := once.NewLedger(clock, once.DefaultBounds())
+	clock.Advance(time.Minute)
+	key, created := once.NewKey("kassa", "k"), clock.Now()
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	must.Eq(t, once.Uncertain, l.Begin(left, key, created).Kind())
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go l.Run(ctx)
+	for until := time.Now().Add(10 * time.Second); l.Dump(ctx).Keys() > 0; time.Sleep(time.Millisecond) {
+		must.True(t, time.Now().Before(until))
+	}
+	must.Eq(t, once.Run, l.Begin(ctx, key, created).Kind())
+}
