--- a/savorygap-bench/cmd/root.go
+++ b/savorygap-bench/cmd/root.go
@@ -22,7 +22,7 @@
 	app := &cli.Command{
 		Name: "savorygap-bench", Usage: "stand-ins, load and experiments against real nodes on loopback",
 		Writer: stdout, ErrWriter: stderr, EnableShellCompletion: true,
-		Commands:       []*cli.Command{demoCommand(stdout), storeCommand(stdout), serverCommand(stdout), fleetCommand(stdout), overheadCommand(stdout), compareCommand(stdout), scaleCommand(stdout), soakCommand(stdout), sizesCommand(stdout)},
+		Commands:       []*cli.Command{demoCommand(stdout), storeCommand(stdout), serverCommand(stdout), fleetCommand(stdout), overheadCommand(stdout), compareCommand(stdout), scaleCommand(stdout), soakCommand(stdout), sizesCommand(stdout), bypassCommand(stdout)},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
