--- a/lib/balance/balance.go
+++ b/lib/balance/balance.go
@@ -10,7 +10,7 @@
 //	t := balance.NewTable(balance.Adaptive, rng, here)
 //	t.Replace(targets)
 //	target, ok := t.Pick(now, "logview", open, tried)
-//	t.Settle(now, target.ID(), report, latency, balance.Answered)
+//	t.Settle(now, target.ID(), balance.Answered, report, true)
 //
 // Every report is stale when it arrives. Its weight falls with its age, and
 // the requests that this node sent since are added to it at once.
--- a/lib/gossip/control.go
+++ b/lib/gossip/control.go
@@ -9,7 +9,7 @@
 //
 // # Usage
 //
-//	c, err := gossip.New(settings, charts, clock, hooks)
+//	c, err := gossip.New(clock, rng, transport, charts, self, hooks)
 //	go c.Run(ctx)
 //	c.SetServers(servers)
 //	c.Accept(doc)
--- a/lib/route/router.go
+++ b/lib/route/router.go
@@ -7,10 +7,10 @@
 //
 // # Usage
 //
-//	r := route.New(clock, policy, rng, here)
+//	r := route.New(clock, policy, rng, here, observe)
 //	go r.Run(ctx)
 //	plan, err := r.Begin(ctx, host, method, path, key, created)
-//	again, ok := r.Again(ctx, ask)
+//	choice := r.Again(ctx, ask)
 //	r.Settle(settlement)
 package route
 
