fix(registry): let hosts behind fast connections take most turns at the store

The log shows the store's version 37, written every 1.5 s, read 1.3 to 3.7 s after its acknowledgement: a turn brings 1.1 MB a version over the host's own 11 Mbit/s, which takes 0.8 s each, while six hosts of 90 have 200 Mbit/s. Several versions in one reply of a watch also went past the largest reply that is read, which failed the turn.

Change: nodes tell each other the speed of their host's connection in the hello; the time until a node begins a turn is drawn so that it takes a share of the turns that grows with the power 1.5 of that speed.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -17,6 +17,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync/atomic"
 	"time"
@@ -50,6 +51,12 @@
 	redialMin    = 200 * time.Millisecond
 	redialMax    = 2 * time.Second
 
+	// turnPower is the power of a host's speed with which its turns grow.
+	turnPower = 1.5
+	// leastSpeed, in bytes a second, stands for the speed of a host that does not
+	// say.
+	leastSpeed = 1e5
+
 	eventAccept chart.Event = "accept"
 	eventHear   chart.Event = "hear"
 )
@@ -95,7 +102,7 @@
 	serial    uint64
 	started   bool
 	closed    bool
-	linked    atomic.Int64
+	share     atomic.Uint64
 }
 
 // contact is what is known of reaching one node.
@@ -209,6 +216,7 @@
 	if err != nil {
 		return nil, err
 	}
+	f.share.Store(math.Float64bits(1))
 	f.machine, err = configuration.Start(chart.Actions{"publish": f.publish, "fetch": func() {}})
 	return f, err
 }
@@ -224,8 +232,10 @@
 // has ended to.
 func (f *Fleet) Turn(begins bool) { f.inbox.Send(message{turn: &begins}) }
 
-// Linked returns how many other nodes have a link.
-func (f *Fleet) Linked() int { return int(f.linked.Load()) }
+// Share returns the part of the fleet's turns at the store that this node should
+// take: what a turn brings passes over its host's connection first, so that nodes
+// behind a fast one take more.
+func (f *Fleet) Share() float64 { return math.Float64frombits(f.share.Load()) }
 
 // Close stops taking new links and dialling; those that live go on.
 func (f *Fleet) Close() { f.inbox.Send(message{close: true}) }
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -34,7 +34,10 @@
 	stop       context.CancelFunc
 }
 
-func newNode(t *testing.T, name string) *node {
+func newNode(t *testing.T, name string) *node { return newNodeAt(t, name, 0) }
+
+// newNodeAt returns a node whose host sends speed bytes a second.
+func newNodeAt(t *testing.T, name string, speed float64) *node {
 	t.Helper()
 	charts, err := chart.Embedded()
 	must.NoError(t, err)
@@ -52,7 +55,7 @@
 		func(int) {}, func([]registry.Record) {}, func(r *registry.Record) { n.entries <- r }, func(_ string, begins bool) { n.turns <- begins })
 	server := link.NewServer(func(place.Key, placement.Ask, func(placement.Event)) {}, func(place.Key) {},
 		func(place.Key, *placement.Request) {}, func(place.Key) {}, func(uint64) {})
-	self := fleet.NewMember(name, n.address, "north", "shop")
+	self := fleet.NewMember(name, n.address, "north", "shop").WithSpeed(speed)
 	n.member, err = fleet.EncodeMember(self)
 	must.NoError(t, err)
 	n.fleet, err = fleet.New(self, charts, hooks, server, clock, eventlog.New(io.Discard, clock, name))
@@ -171,6 +174,22 @@
 	must.Less(t, others*len(text)/2, handed)
 }
 
+func TestNodesBehindFastConnectionsTakeMostTurns(t *testing.T) {
+	fast, slow := newNodeAt(t, "a", 25e6), newNodeAt(t, "b", 1e6)
+	must.Eq(t, 1.0, fast.fleet.Share())
+	start := []registry.Record{configuration(5, "x"), fast.member.At(1), slow.member.At(2)}
+	for _, n := range []*node{fast, slow} {
+		n.fleet.Learn(registry.NewUpdate(start, 5, true))
+	}
+	for _, n := range []*node{fast, slow} {
+		for len(<-n.peers) == 0 {
+			continue
+		}
+	}
+	must.Greater(t, 0.9, fast.fleet.Share())
+	must.InDelta(t, 1, fast.fleet.Share()+slow.fleet.Share(), 1e-9)
+}
+
 func TestTurnsAtTheStoreAreToldToPeers(t *testing.T) {
 	a, b := newNode(t, "a"), newNode(t, "b")
 	a.fleet.Learn(registry.NewUpdate([]registry.Record{configuration(5, "x"), b.member.At(2)}, 5, true))
--- a/lib/fleet/links.go
+++ b/lib/fleet/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -68,7 +69,7 @@
 }
 
 func (f *Fleet) hello() link.Hello {
-	return link.NewHello(f.self.node, f.self.address, f.self.dataCentre, f.state, f.situation.known())
+	return link.NewHello(f.self.node, f.self.address, f.self.dataCentre, f.state, f.situation.known()).WithSpeed(f.self.speed)
 }
 
 func (f *Fleet) begin(ctx context.Context, l *link.Link) *peerLink {
@@ -163,14 +164,22 @@
 			newest[p.hello.Node()] = p
 		}
 	}
+	own := turnWeight(f.self.speed)
+	all := own
 	peers := make([]Peer, 0, len(newest))
 	for node, p := range newest {
+		all += turnWeight(p.hello.Speed())
 		peers = append(peers, Peer{node: node, dataCentre: p.hello.DataCentre(), state: p.state, port: p.link.Port()})
 	}
-	f.linked.Store(int64(len(peers)))
+	f.share.Store(math.Float64bits(own / all))
 	f.hooks.peers(peers)
 }
 
+// turnWeight returns the weight of a node behind a connection of speed bytes a
+// second. A few fast hosts take most turns; where these are cut from the store,
+// many slow ones still begin theirs soon.
+func turnWeight(speed float64) float64 { return math.Pow(max(speed, leastSpeed), turnPower) }
+
 func (f *Fleet) contact(node string) *contact {
 	c, ok := f.contacts[node]
 	if !ok {
--- a/lib/fleet/member.go
+++ b/lib/fleet/member.go
@@ -14,6 +14,7 @@
 	address    string
 	dataCentre string
 	service    string
+	speed      float64
 }
 
 // NewMember returns a member that takes links at address.
@@ -21,6 +22,13 @@
 	return Member{node: node, address: address, dataCentre: dataCentre, service: service}
 }
 
+// WithSpeed returns the member with the speed of its host's connection, in bytes a
+// second; 0 is not known.
+func (m Member) WithSpeed(speed float64) Member {
+	m.speed = speed
+	return m
+}
+
 // Node returns the name of the node.
 func (m Member) Node() string { return m.node }
 
--- a/lib/link/codec.go
+++ b/lib/link/codec.go
@@ -122,7 +122,7 @@
 	switch {
 	case m.hello != nil:
 		h := m.hello
-		return encodeState(newEncoder(typeHello, 160).text(1, h.node).text(2, h.address).text(3, h.dataCentre).number(4, h.known.configuration).number(5, h.known.evacuation), h.state).frame()
+		return encodeState(newEncoder(typeHello, 160).text(1, h.node).text(2, h.address).text(3, h.dataCentre).number(4, h.known.configuration).number(5, h.known.evacuation).float(6, h.speed), h.state).frame()
 	case m.ask != nil:
 		a := m.ask.ask
 		return newEncoder(typeAsk, 80).number(1, m.ask.number).text(2, a.Service()).number(3, uint64(max(a.Rank(), 0))).
--- a/lib/link/decode.go
+++ b/lib/link/decode.go
@@ -91,7 +91,7 @@
 	number := f.numbers[1]
 	switch kind {
 	case typeHello:
-		return Message{hello: &Hello{node: f.text(1), address: f.text(2), dataCentre: f.text(3), known: NewKnown(f.numbers[4], f.numbers[5]), state: f.state()}}, true, nil
+		return Message{hello: &Hello{node: f.text(1), address: f.text(2), dataCentre: f.text(3), known: NewKnown(f.numbers[4], f.numbers[5]), speed: math.Float64frombits(f.numbers[6]), state: f.state()}}, true, nil
 	case typeAsk:
 		a := placement.NewAsk(f.text(2), f.count(3)).Nested(f.numbers[4] != 0).WithPatience(f.duration(5)).WithTrace(f.text(6)).Warn(f.numbers[7] != 0).
 			Below(math.Float64frombits(f.numbers[8]))
--- a/lib/link/message.go
+++ b/lib/link/message.go
@@ -13,6 +13,7 @@
 	dataCentre string
 	state      State
 	known      Known
+	speed      float64
 }
 
 // NewHello returns the hello of a node that takes links at address, and what it
@@ -33,6 +34,16 @@
 // State returns the state of the server beside the node.
 func (h Hello) State() State { return h.state }
 
+// WithSpeed returns the hello with the speed of the host's connection, in bytes a
+// second; 0 is not known.
+func (h Hello) WithSpeed(speed float64) Hello {
+	h.speed = speed
+	return h
+}
+
+// Speed returns the speed of the host's connection, in bytes a second.
+func (h Hello) Speed() float64 { return h.speed }
+
 // Known returns which versions the node knows.
 func (h Hello) Known() Known { return h.known }
 
--- a/lib/registry/follower.go
+++ b/lib/registry/follower.go
@@ -19,8 +19,9 @@
 	// turnMargin is how much longer than its wait a peer's turn may take before
 	// another node begins one.
 	turnMargin = 150 * time.Millisecond
-	// turnSpread is, for each peer, the time over which nodes spread the start of
-	// the next turn, so that mostly one begins it.
+	// turnSpread is the mean time until the first node of the fleet begins the next
+	// turn. Several messages between data centres fit into it, so that mostly one
+	// node begins.
 	turnSpread = 30 * time.Millisecond
 	turnsHeld  = 16 // peers' turns not yet taken in
 	retryMin   = 100 * time.Millisecond
@@ -61,7 +62,7 @@
 	kicks   chan struct{}
 	turns   chan turn
 	lost    chan struct{}
-	peers   func() int
+	share   func() float64
 	tell    func(begins bool)
 	update  func(Update)
 	health  func(err error)
@@ -77,12 +78,13 @@
 }
 
 // NewFollower returns a follower that calls update for what it learns and health
-// with the result of each call. peers returns how many nodes share the turns, and
-// tell tells them that a turn begins or has ended.
-func NewFollower(store *Store, clock clockwork.Clock, peers func() int, tell func(begins bool), update func(Update), health func(error)) *Follower {
+// with the result of each call, also that history was lost. share returns the part of the fleet's turns that
+// this node should take, above 0 and up to 1, and tell tells the peers that a turn
+// begins or has ended.
+func NewFollower(store *Store, clock clockwork.Clock, share func() float64, tell func(begins bool), update func(Update), health func(error)) *Follower {
 	return &Follower{
 		store: store, clock: clock, kicks: make(chan struct{}, 1), turns: make(chan turn, turnsHeld),
-		lost: make(chan struct{}, 1), doubted: map[string]bool{}, peers: peers, tell: tell, update: update, health: health,
+		lost: make(chan struct{}, 1), doubted: map[string]bool{}, share: share, tell: tell, update: update, health: health,
 	}
 }
 
@@ -117,12 +119,12 @@
 	backoff := retryMin
 	for ctx.Err() == nil {
 		records, next, err := f.call(ctx, version, whole)
+		f.health(err)
 		var lost *HistoryLostError
 		if errors.As(err, &lost) {
 			whole = false
 			continue
 		}
-		f.health(err)
 		if f.sound {
 			f.tell(false)
 		}
@@ -141,9 +143,11 @@
 	}
 }
 
-// spread returns a random part of the time over which turns begin.
+// spread returns a random time. Over nodes whose shares add up to 1, the shortest
+// is turnSpread on average, and each node's is the shortest as often as its share
+// says.
 func (f *Follower) spread() time.Duration {
-	return rand.N(turnSpread*time.Duration(f.peers()) + 1)
+	return time.Duration(rand.ExpFloat64() * float64(turnSpread) / f.share())
 }
 
 // call reads all records, or waits for changes after version.
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -152,20 +152,26 @@
 // *LapsedError when the lease has ended.
 func (s *Store) Put(ctx context.Context, r Record) error { return s.put(ctx, r) }
 
-// HistoryLostError reports that the changes after a version are not known any
-// more.
+// HistoryLostError reports that the changes after a version cannot be had, and
+// that all records have to be read.
 type HistoryLostError struct {
 	after uint64
+	cause error
 }
 
 // NewHistoryLost returns the error for the changes after a version.
-func NewHistoryLost(after uint64) *HistoryLostError { return &HistoryLostError{after: after} }
+func NewHistoryLost(after uint64, cause error) *HistoryLostError {
+	return &HistoryLostError{after: after, cause: cause}
+}
 
 // Error implements error.
 func (e *HistoryLostError) Error() string {
-	return fmt.Sprintf("the store does not know the changes after version %d", e.after)
+	return fmt.Sprintf("the changes after version %d cannot be had: %v", e.after, e.cause)
 }
 
+// Unwrap returns the cause.
+func (e *HistoryLostError) Unwrap() error { return e.cause }
+
 // LapsedError reports a lease that has ended.
 type LapsedError struct {
 	lease Lease
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -34,7 +34,7 @@
 		calls.Add(1)
 		return nil, 0, errRefused
 	}
-	f := registry.NewFollower(storeOf(whole, follow), clockwork.NewRealClock(), func() int { return 0 }, func(b bool) {
+	f := registry.NewFollower(storeOf(whole, follow), clockwork.NewRealClock(), func() float64 { return 1 }, func(b bool) {
 		if b {
 			begins.Add(1)
 		}
@@ -52,7 +52,7 @@
 		calls.Add(1)
 		return nil, after, nil
 	}
-	f := registry.NewFollower(storeOf(whole, follow), clockwork.NewRealClock(), func() int { return 3 }, func(bool) {}, func(registry.Update) {}, func(error) {})
+	f := registry.NewFollower(storeOf(whole, follow), clockwork.NewRealClock(), func() float64 { return 0.25 }, func(bool) {}, func(registry.Update) {}, func(error) {})
 	start(t, f)
 	began := time.Now()
 	for calls.Load() < 3 {
@@ -72,12 +72,12 @@
 	}
 	follow := func(_ context.Context, after uint64, _ time.Duration) ([]registry.Record, uint64, error) {
 		if after == 1 {
-			return nil, 0, registry.NewHistoryLost(after)
+			return nil, 0, registry.NewHistoryLost(after, errRefused)
 		}
 		time.Sleep(20 * time.Millisecond)
 		return nil, after, nil
 	}
-	f := registry.NewFollower(storeOf(read, follow), clockwork.NewRealClock(), func() int { return 0 }, func(bool) {}, func(u registry.Update) { updates <- u }, func(error) {})
+	f := registry.NewFollower(storeOf(read, follow), clockwork.NewRealClock(), func() float64 { return 1 }, func(bool) {}, func(u registry.Update) { updates <- u }, func(error) {})
 	start(t, f)
 	must.Eq(t, uint64(1), (<-updates).Version())
 	second := <-updates
@@ -91,7 +91,7 @@
 		calls.Add(1)
 		return nil, after, nil
 	}
-	f := registry.NewFollower(storeOf(whole, follow), clockwork.NewRealClock(), func() int { return 1 }, func(bool) {}, func(registry.Update) {}, func(error) {})
+	f := registry.NewFollower(storeOf(whole, follow), clockwork.NewRealClock(), func() float64 { return 0.5 }, func(bool) {}, func(registry.Update) {}, func(error) {})
 	start(t, f)
 	for range 10 {
 		f.Heard("b", true)
@@ -191,3 +191,25 @@
 	must.Eq(t, "i-1", d.Name())
 	must.Eq(t, int64(5), d.Born())
 }
+
+// TestNodesTakeTurnsByTheirShares lets two nodes share the turns, one of which
+// should take nearly all.
+func TestNodesTakeTurnsByTheirShares(t *testing.T) {
+	var fast, slow atomic.Int64
+	node := func(name string, share float64, calls *atomic.Int64, peer func() *registry.Follower) *registry.Follower {
+		follow := func(_ context.Context, after uint64, _ time.Duration) ([]registry.Record, uint64, error) {
+			calls.Add(1)
+			return nil, after, nil
+		}
+		return registry.NewFollower(storeOf(whole, follow), clockwork.NewRealClock(), func() float64 { return share },
+			func(begins bool) { peer().Heard(name, begins) }, func(registry.Update) {}, func(error) {})
+	}
+	var a, b *registry.Follower
+	a = node("a", 0.98, &fast, func() *registry.Follower { return b })
+	b = node("b", 0.02, &slow, func() *registry.Follower { return a })
+	start(t, a)
+	start(t, b)
+	time.Sleep(4 * time.Second)
+	must.Greater(t, 3*slow.Load(), fast.Load())
+	must.Greater(t, 5, fast.Load())
+}
--- a/savorygap-node/internal/pipeline/node_test.go
+++ b/savorygap-node/internal/pipeline/node_test.go
@@ -387,6 +387,24 @@
 	must.Eq(t, http.StatusOK, a.must(t, http.MethodGet, "/read/1", "id-2", "").status)
 }
 
+// TestDepartureLastsThoughAnswersOfTheStoreAreLost restarts a node whose server
+// said that it leaves while the store lost the answers to all writes.
+func TestDepartureLastsThoughAnswersOfTheStoreAreLost(t *testing.T) {
+	s := newSite(t)
+	a, b := s.add(t, "till", 0), s.add(t, "shop", 0)
+	s.store.SetLosing(true)
+	b.announce(t, "draining")
+	s.awaitOpen(t, a, "shop", false)
+	must.Eq(t, 1, len(s.store.Keys("savorygap/departure/")))
+	b.kill()
+	s.store.SetLosing(false)
+	b.start(t)
+	time.Sleep(500 * time.Millisecond)
+	must.Eq(t, http.StatusServiceUnavailable, a.must(t, http.MethodGet, "/read/1", "id-1", "").status)
+	must.Eq(t, 0, len(drained(b.server)))
+	eventually(t, 2*time.Second, func() bool { return len(s.store.Keys("savorygap/member/")) == 2 })
+}
+
 func TestStoppingNodeFinishesWhatItTookAndSaysItIsNotReady(t *testing.T) {
 	s := newSite(t)
 	a := s.add(t, "till", 0)
--- a/savorygap-node/internal/settings/settings.go
+++ b/savorygap-node/internal/settings/settings.go
@@ -27,6 +27,7 @@
 	Service    string     `yaml:"service"`
 	Server     string     `yaml:"server"`
 	Memory     int64      `yaml:"memoryMegabytes"`
+	Link       float64    `yaml:"linkMegabits"` // a second
 	Listen     fileListen `yaml:"listen"`
 	Store      fileStore  `yaml:"store"`
 	Retries    fileRetry  `yaml:"retries"`
@@ -60,6 +61,13 @@
 	file file
 }
 
+// bytesPerMegabit turns megabits into bytes.
+const bytesPerMegabit = 1e6 / 8
+
+// LinkSpeed returns the speed of the host's connection in bytes a second, 0 when
+// it is not set.
+func (t *Tree) LinkSpeed() float64 { return t.file.Link * bytesPerMegabit }
+
 // MissingError reports a setting that has no default and is not set.
 type MissingError struct {
 	path    string
--- a/savorygap-node/internal/storage/storage.go
+++ b/savorygap-node/internal/storage/storage.go
@@ -3,6 +3,7 @@
 package storage
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -44,7 +45,7 @@
 		return err
 	}
 	health := &health{process: p}
-	follower := registry.NewFollower(store, p.Clock(), func() int { return p.Fleet().Linked() }, func(begins bool) { p.Fleet().Turn(begins) },
+	follower := registry.NewFollower(store, p.Clock(), func() float64 { return p.Fleet().Share() }, func(begins bool) { p.Fleet().Turn(begins) },
 		func(u registry.Update) { p.Fleet().Learn(u) }, health.followed)
 	registrar := registry.NewRegistrar(store, p.Clock(), member, health.renewed)
 	p.SetStore(store, registrar, follower)
@@ -63,7 +64,15 @@
 	lost    atomic.Bool
 }
 
-func (h *health) followed(err error) { h.note("watch", err) }
+func (h *health) followed(err error) {
+	var lost *registry.HistoryLostError
+	if errors.As(err, &lost) {
+		// The store answered; what it cannot tell is read.
+		h.process.Log().Write("store-history-lost", "error", err.Error())
+		return
+	}
+	h.note("watch", err)
+}
 
 // renewed kicks the watch when the store is back, since a watch that was waiting
 // may never hear again.
