feat(bench): a soak and a demo of real nodes on the platform's terms

Cause: the soak ran savorygapd, which the users' platform does not run, and nothing showed savorygap-node as separate processes under faults from outside.

Change: internal/site runs real savorygap-node processes against the stand-ins of store and servers, with a loopback proxy between each node and its peers, its server and the store (internal/proxy: delays, holds one way or both, silence for good, resets). internal/soak plays seeded episodes: calm ones of planned work in series and side by side, others with up to four of 22 faults; callers keep their connections until the process is gone. The node gains listen.advertised, the address by which others reach its links. The soak of savorygapd goes; its scenarios stay.

--- a/savorygap-bench/cmd/demo.go
+++ b/savorygap-bench/cmd/demo.go
@@ -7,13 +7,21 @@
 	"github.com/urfave/cli/v3"
 
 	"savorygap.example/savorygap-bench/internal/demo"
+	"savorygap.example/savorygap-bench/internal/soak"
 )
 
 func demoCommand(stdout io.Writer) *cli.Command {
+	var platform bool
 	return &cli.Command{
 		Name:  "demo",
 		Usage: "run the Board's sample fleet end to end and print what happened",
+		Flags: []cli.Flag{
+			&cli.BoolFlag{Name: "platform", Usage: "run savorygap-node on the terms of the users' platform", Destination: &platform},
+		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
+			if platform {
+				return soak.Tour(ctx, stdout)
+			}
 			return demo.Run(ctx, stdout)
 		},
 	}
--- a/savorygap-bench/cmd/soak.go
+++ b/savorygap-bench/cmd/soak.go
@@ -13,15 +13,20 @@
 func soakCommand(stdout io.Writer) *cli.Command {
 	var length time.Duration
 	var seed uint64
+	var rounds, subnet int
+	var binary string
 	return &cli.Command{
 		Name:  "soak",
-		Usage: "send load while random faults come and go, and account for every request",
+		Usage: "run nodes on the platform's terms under random faults, and check every request",
 		Flags: []cli.Flag{
-			&cli.DurationFlag{Name: "for", Usage: "how long", Value: 10 * time.Minute, Destination: &length},
+			&cli.DurationFlag{Name: "for", Usage: "how long", Value: time.Minute, Destination: &length},
 			&cli.Uint64Flag{Name: "seed", Usage: "seed of faults and load", Value: 1, Destination: &seed},
+			&cli.IntFlag{Name: "rounds", Usage: "six hosts each", Value: 1, Destination: &rounds},
+			&cli.IntFlag{Name: "subnet", Usage: "third byte of all addresses", Value: 30, Destination: &subnet},
+			&cli.StringFlag{Name: "node", Usage: "node program, built when empty", Destination: &binary},
 		},
 		Action: func(ctx context.Context, _ *cli.Command) error {
-			return soak.Run(ctx, stdout, soak.NewOptions(length, seed))
+			return soak.Run(ctx, stdout, soak.NewOptions(length, seed).Sized(rounds).On(subnet).WithBinary(binary))
 		},
 	}
 }
--- /dev/null
+++ b/savorygap-bench/internal/proxy/proxy_test.go
@@ -0,0 +1,109 @@
+package proxy_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"savorygap.example/savorygap-bench/internal/proxy"
+)
+
+// quiet is how long a test waits for bytes that must not arrive.
+const quiet = 100 * time.Millisecond
+
+// echo serves connections that send back what they get.
+func echo(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { must.NoError(t, listener.Close()) })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				_, _ = io.Copy(conn, conn)
+				_ = conn.Close()
+			}()
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func start(t *testing.T) *proxy.Proxy {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	p, err := proxy.Start(ctx, "127.0.0.1:0", echo(t))
+	must.NoError(t, err)
+	return p
+}
+
+// dial connects through the proxy and shows that the connection works.
+func dial(t *testing.T, p *proxy.Proxy) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", p.Address())
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	must.NoError(t, exchange(conn, "a", time.Second))
+	return conn
+}
+
+func exchange(conn net.Conn, text string, limit time.Duration) error {
+	if _, err := conn.Write([]byte(text)); err != nil {
+		return err
+	}
+	return read(conn, limit)
+}
+
+func read(conn net.Conn, limit time.Duration) error {
+	if err := conn.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return err
+	}
+	_, err := conn.Read(make([]byte, 1))
+	return err
+}
+
+func TestHeldBytesGoOnOnceTheyMayPass(t *testing.T) {
+	p := start(t)
+	conn := dial(t, p)
+	p.Hold(proxy.Down)
+	must.True(t, errors.Is(exchange(conn, "b", quiet), os.ErrDeadlineExceeded))
+	p.Pass()
+	must.NoError(t, read(conn, time.Second))
+}
+
+func TestSilentConnectionStaysSilentAndNewOnesWork(t *testing.T) {
+	p := start(t)
+	conn := dial(t, p)
+	p.Silence()
+	must.True(t, errors.Is(exchange(conn, "b", quiet), os.ErrDeadlineExceeded))
+	dial(t, p)
+	must.True(t, errors.Is(read(conn, quiet), os.ErrDeadlineExceeded))
+}
+
+func TestResetReachesBothEnds(t *testing.T) {
+	p := start(t)
+	conn := dial(t, p)
+	p.Reset()
+	must.True(t, errors.Is(read(conn, time.Second), syscall.ECONNRESET))
+	dial(t, p)
+}
+
+func TestDelayHoldsEveryPieceUp(t *testing.T) {
+	p := start(t)
+	conn := dial(t, p)
+	p.Delay(quiet)
+	began := time.Now()
+	must.NoError(t, exchange(conn, "b", 2*time.Second))
+	must.Greater(t, quiet, time.Since(began))
+}
--- a/savorygap-bench/internal/soak/faults.go
+++ b/savorygap-bench/internal/soak/faults.go
@@ -3,181 +3,216 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
+	"net/http"
 	"syscall"
 	"time"
 
-	storestandin "savorygap.example/lib/store/standin"
-	"savorygap.example/savorygap-bench/internal/fleet"
-	"savorygap.example/savorygap-bench/internal/standin"
+	"savorygap.example/savorygap-bench/internal/proxy"
+	"savorygap.example/savorygap-bench/internal/site"
 )
 
 const (
-	region     = "mu-north"
-	outBound   = 3 * time.Second
-	outExtra   = 2 * time.Second
-	endLimit   = 40 * time.Second
-	startLimit = 40 * time.Second
+	endLimit    = 12 * time.Second
+	serverLeave = 2500 * time.Millisecond // a server serves on after its leaving was acknowledged
+	evacuated   = 7 * time.Second
+	slowBy      = 5
+	linkDelay   = 30 * time.Millisecond
+	storeDelay  = 300 * time.Millisecond
 )
 
-// fault is one thing that goes wrong for a while. Its function returns what it
-// saw that must not be.
-type fault struct {
-	name string
-	run  func(ctx context.Context, f *fleet.Fleet, h *fleet.Host, d time.Duration) string
-}
-
-// hostFaults befall one host each; storeFaults the store and the operators.
-func hostFaults() []fault {
-	return []fault{
-		{"slow server", server(standin.Faults{}.Slow(6))},
-		{"failing server", server(standin.Faults{}.FailFast())},
-		{"server turns cold", server(standin.Faults{}.TurnCold())},
-		{"cut answers", server(standin.Faults{}.Cut())},
-		{"draining server", drainServer},
-		{"silent server", silence},
-		{"paused node", pauseNode},
-		{"killed node", killNode},
-		{"restarted node", restartNode},
-	}
+// work is one thing that is done to a host or to the store for a while.
+type work struct {
+	name    string
+	planned bool
+	store   bool // it befalls the store, for all hosts
+	run     func(ctx context.Context, s *site.Site, n *notes, h *site.Host, d time.Duration)
 }
 
-func storeFaults() []fault {
-	return []fault{
-		{"store down", storeFault(storestandin.Faults().Down(true))},
-		{"store slow", storeFault(storestandin.Faults().Slow(700 * time.Millisecond))},
-		{"lost answers", storeFault(storestandin.Faults().LoseAnswers(2))},
-		{"lapsed leases", storeFault(storestandin.Faults().LapseLeases())},
-		{"data centre out", outAndIn},
+// plannedWork is what operators and the platform do.
+func plannedWork() []work {
+	return []work{
+		{name: "node restarts", planned: true, run: restartNode},
+		{name: "server is replaced", planned: true, run: replaceServer},
+		{name: "configuration changes", planned: true, store: true, run: configure},
+		{name: "configurations follow one another", planned: true, store: true, run: storm},
+		{name: "data centre is evacuated", planned: true, store: true, run: evacuate},
 	}
 }
 
-// inject runs one fault after another until ctx ends. The first injector has
-// the hosts' faults, the second those of store and data centres, so that two
-// are always at work and each host has one at a time.
-func inject(ctx context.Context, w io.Writer, f *fleet.Fleet, rng *rand.Rand, index int) []string {
-	faults := hostFaults()
-	if index == 1 {
-		faults = storeFaults()
-	}
-	var wrong []string
-	for ctx.Err() == nil {
-		one := faults[rng.IntN(len(faults))]
-		h := f.Hosts()[rng.IntN(len(f.Hosts()))]
-		d := shortest + time.Duration(rng.Int64N(int64(longest-shortest)))
-		fmt.Fprintf(w, "%s %s at %s for %s\n", time.Now().Format("15:04:05"), one.name, h.Name(), d.Round(time.Millisecond))
-		if seen := one.run(ctx, f, h, d); seen != "" {
-			wrong = append(wrong, one.name+" at "+h.Name()+": "+seen)
-		}
+// faults is what goes wrong.
+func faults() []work {
+	return []work{
+		{name: "node is killed", run: killNode},
+		{name: "node is killed again and again", run: killOften},
+		{name: "node is paused", run: pauseNode},
+		{name: "server crashes", run: crashServer},
+		{name: "server is slow", run: slowServer},
+		{name: "server fails", run: failServer},
+		{name: "server breaks answers off", run: cutServer},
+		{name: "server is cut off", run: around(func(h *site.Host) { h.Access().Hold(proxy.Both) }, func(h *site.Host) { h.Access().Pass() })},
+		{name: "server's connections are reset", run: around(func(h *site.Host) { h.Access().Reset() }, func(*site.Host) {})},
+		{name: "links are cut", run: around(func(h *site.Host) { h.Links().Hold(proxy.Both) }, func(h *site.Host) { h.Links().Pass() })},
+		{name: "links are cut one way", run: around(func(h *site.Host) { h.Links().Hold(proxy.Up) }, func(h *site.Host) { h.Links().Pass() })},
+		{name: "links are slow", run: around(func(h *site.Host) { h.Links().Delay(linkDelay) }, func(h *site.Host) { h.Links().Pass() })},
+		{name: "links are silent", run: around(func(h *site.Host) { h.Links().Silence() }, func(*site.Host) {})},
+		{name: "links are reset", run: around(func(h *site.Host) { h.Links().Reset() }, func(*site.Host) {})},
+		{name: "host is cut from the store", run: around(func(h *site.Host) { h.Storage().Hold(proxy.Both) }, func(h *site.Host) { h.Storage().Pass() })},
+		{name: "host's store connections are silent", run: around(func(h *site.Host) { h.Storage().Silence() }, func(*site.Host) {})},
+		{name: "store is slow for the host", run: around(func(h *site.Host) { h.Storage().Delay(storeDelay) }, func(h *site.Host) { h.Storage().Pass() })},
+		{name: "store is down", store: true, run: storeDown},
+		{name: "store loses answers", store: true, run: storeLoses},
+		{name: "store forgets its history", store: true, run: storeForgets},
+		{name: "leases end", store: true, run: leasesEnd},
+		{name: "configuration changes meanwhile", planned: true, store: true, run: configure},
 	}
-	return wrong
 }
 
-func server(faults standin.Faults) func(context.Context, *fleet.Fleet, *fleet.Host, time.Duration) string {
-	return func(_ context.Context, _ *fleet.Fleet, h *fleet.Host, d time.Duration) string {
-		h.Server().Set(faults)
+// around begins something at a host, waits and ends it.
+func around(begin, end func(*site.Host)) func(context.Context, *site.Site, *notes, *site.Host, time.Duration) {
+	return func(_ context.Context, _ *site.Site, _ *notes, h *site.Host, d time.Duration) {
+		begin(h)
 		time.Sleep(d)
-		h.Server().Set(standin.Faults{})
-		return ""
+		end(h)
 	}
 }
 
-func drainServer(_ context.Context, _ *fleet.Fleet, h *fleet.Host, d time.Duration) string {
-	h.Announcer().Drain(true)
-	seen := quietAfter(d+outBound, h)
-	h.Announcer().Drain(false)
-	return seen
+func restartNode(_ context.Context, _ *site.Site, n *notes, h *site.Host, _ time.Duration) {
+	endNode(n, h, syscall.SIGTERM, 0)
 }
 
-func silence(_ context.Context, _ *fleet.Fleet, h *fleet.Host, d time.Duration) string {
-	h.Announcer().Silence(true)
-	time.Sleep(outBound + d)
-	h.Announcer().Silence(false)
-	return ""
+func killNode(_ context.Context, _ *site.Site, n *notes, h *site.Host, d time.Duration) {
+	endNode(n, h, syscall.SIGKILL, d/2)
+}
+
+func killOften(_ context.Context, _ *site.Site, n *notes, h *site.Host, d time.Duration) {
+	for range 3 {
+		endNode(n, h, syscall.SIGKILL, d/10)
+		time.Sleep(d / 5)
+	}
 }
 
-// quietAfter waits for the bound and then reports work that still arrives.
-func quietAfter(d time.Duration, hosts ...*fleet.Host) string {
-	time.Sleep(outBound)
-	before := 0
-	for _, h := range hosts {
-		before += h.Server().Ledger().Served()
+func endNode(n *notes, h *site.Host, s syscall.Signal, pause time.Duration) {
+	if err := h.Signal(s); err != nil {
+		n.fail(fmt.Sprintf("signal %s to %s: %v", s, h.Name(), err))
 	}
-	time.Sleep(d - outBound + outExtra)
-	after := 0
-	for _, h := range hosts {
-		after += h.Server().Ledger().Served()
+	if err := h.AwaitEnd(endLimit); err != nil {
+		n.fail(err.Error())
+		return
 	}
-	if after > before {
-		return fmt.Sprintf("%d requests arrived after the bound", after-before)
+	time.Sleep(pause)
+	if err := h.StartNode(); err != nil {
+		n.fail(err.Error())
 	}
-	return ""
 }
 
-func pauseNode(_ context.Context, _ *fleet.Fleet, h *fleet.Host, d time.Duration) string {
-	if err := h.Signal(syscall.SIGSTOP); err != nil {
-		return err.Error()
-	}
-	time.Sleep(d)
-	if err := h.Signal(syscall.SIGCONT); err != nil {
-		return err.Error()
+func pauseNode(_ context.Context, _ *site.Site, n *notes, h *site.Host, d time.Duration) {
+	for _, s := range []syscall.Signal{syscall.SIGSTOP, syscall.SIGCONT} {
+		if err := h.Signal(s); err != nil {
+			n.fail(fmt.Sprintf("signal %s to %s: %v", s, h.Name(), err))
+		}
+		time.Sleep(d / 2)
 	}
-	return ""
 }
 
-func killNode(ctx context.Context, f *fleet.Fleet, h *fleet.Host, d time.Duration) string {
-	return endNode(ctx, f, h, d, syscall.SIGKILL)
+// replaceServer announces that the server leaves, lets it serve on, and starts
+// another, as a release does.
+func replaceServer(ctx context.Context, _ *site.Site, n *notes, h *site.Host, _ time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, endLimit)
+	defer cancel()
+	instance := h.Server().ID()
+	at, ok := h.Drain(ctx)
+	if !ok {
+		n.fail("leaving of " + instance + " was not acknowledged")
+		return
+	}
+	n.write(func(r *record) { r.leaving = append(r.leaving, leaving{instance: instance, acknowledged: at}) })
+	time.Sleep(serverLeave)
+	if err := h.Leave(); err != nil {
+		n.fail("leaving of " + instance + ": " + err.Error())
+	}
+	renewServer(n, h, 0)
 }
 
-func restartNode(ctx context.Context, f *fleet.Fleet, h *fleet.Host, d time.Duration) string {
-	return endNode(ctx, f, h, d, syscall.SIGTERM)
+func crashServer(_ context.Context, _ *site.Site, n *notes, h *site.Host, d time.Duration) {
+	renewServer(n, h, d)
 }
 
-func endNode(_ context.Context, f *fleet.Fleet, h *fleet.Host, d time.Duration, s syscall.Signal) string {
-	if err := h.Signal(s); err != nil {
-		return err.Error()
-	}
-	if err := h.AwaitEnd(endLimit); err != nil {
-		return err.Error()
+func renewServer(n *notes, h *site.Host, pause time.Duration) {
+	h.StopServer()
+	time.Sleep(pause)
+	if err := h.StartServer(); err != nil {
+		n.fail(err.Error())
+		return
 	}
+	instance, until := h.Server().ID(), h.Cold()
+	n.write(func(r *record) { r.cold = append(r.cold, cold{instance: instance, until: until}) })
+}
+
+func slowServer(_ context.Context, _ *site.Site, _ *notes, h *site.Host, d time.Duration) {
+	s := h.Server()
+	s.SetWork(slowBy * site.Work)
+	s.SetSlowness(slowBy * 100)
 	time.Sleep(d)
-	if err := h.StartNode(); err != nil {
-		return err.Error()
-	}
-	if err := f.AwaitReady(startLimit); err != nil {
-		return err.Error()
-	}
-	return ""
+	s.SetWork(site.Work)
+	s.SetSlowness(100)
 }
 
-func storeFault(faults storestandin.FaultSet) func(context.Context, *fleet.Fleet, *fleet.Host, time.Duration) string {
-	return func(_ context.Context, f *fleet.Fleet, _ *fleet.Host, d time.Duration) string {
-		f.Store().Inject(faults)
-		time.Sleep(d)
-		f.Store().Inject(storestandin.Faults())
-		return ""
-	}
+func failServer(_ context.Context, _ *site.Site, _ *notes, h *site.Host, d time.Duration) {
+	h.Server().SetStatus(http.StatusInternalServerError)
+	time.Sleep(d)
+	h.Server().SetStatus(http.StatusOK)
 }
 
-// outAndIn takes the data centre of a host out of service and back, and reports
-// work that its servers get after the bound.
-func outAndIn(ctx context.Context, f *fleet.Fleet, h *fleet.Host, d time.Duration) string {
-	if err := f.Move(ctx, h.DataCentre(), region, true); err != nil {
-		return ""
-	}
-	var there []*fleet.Host
-	for _, other := range f.Hosts() {
-		if other.DataCentre() == h.DataCentre() {
-			there = append(there, other)
-		}
-	}
-	seen := quietAfter(outBound+d, there...)
-	for range 20 {
-		if err := f.Move(context.WithoutCancel(ctx), h.DataCentre(), region, false); err == nil {
-			return seen
-		}
-		time.Sleep(shortest)
+func cutServer(_ context.Context, _ *site.Site, _ *notes, h *site.Host, d time.Duration) {
+	h.Server().SetCut(true)
+	time.Sleep(d)
+	h.Server().SetCut(false)
+}
+
+func configure(_ context.Context, s *site.Site, n *notes, _ *site.Host, _ time.Duration) {
+	version, at := s.Configure()
+	n.write(func(r *record) { r.changes = append(r.changes, change{version: version, acknowledged: at}) })
+}
+
+func storm(ctx context.Context, s *site.Site, n *notes, h *site.Host, d time.Duration) {
+	for range 5 {
+		configure(ctx, s, n, h, d)
+		time.Sleep(d / 5)
 	}
-	return "the data centre could not be brought back"
+}
+
+func evacuate(_ context.Context, s *site.Site, n *notes, h *site.Host, _ time.Duration) {
+	from := s.Evacuate(h.DataCentre(), true)
+	time.Sleep(evacuated)
+	to := time.Now()
+	s.Evacuate(h.DataCentre(), false)
+	n.write(func(r *record) {
+		r.evacuations = append(r.evacuations, evacuation{dataCentre: h.DataCentre(), from: from, to: to})
+	})
+}
+
+func storeDown(_ context.Context, s *site.Site, _ *notes, _ *site.Host, d time.Duration) {
+	s.Store().SetDown(true)
+	time.Sleep(d)
+	s.Store().SetDown(false)
+}
+
+func storeLoses(_ context.Context, s *site.Site, _ *notes, _ *site.Host, d time.Duration) {
+	s.Store().SetLosing(true)
+	time.Sleep(d)
+	s.Store().SetLosing(false)
+}
+
+func storeForgets(_ context.Context, s *site.Site, _ *notes, _ *site.Host, _ time.Duration) {
+	s.Store().Forget()
+}
+
+func leasesEnd(_ context.Context, s *site.Site, _ *notes, _ *site.Host, _ time.Duration) {
+	s.Store().EndLeases()
+}
+
+// length draws how long a work lasts.
+func length(rng *rand.Rand) time.Duration {
+	return shortest + time.Duration(rng.Int64N(int64(longest-shortest)))
 }
--- a/savorygap-bench/internal/soak/soak.go
+++ b/savorygap-bench/internal/soak/soak.go
@@ -1,5 +1,14 @@
-// Package soak sends load to a fleet of real processes while random faults come
-// and go, two or more at once, and accounts for every request.
+// Package soak sends load to a site of real node processes while faults come and
+// go in overlapping series, and checks the promises of the platform's contract by
+// what callers and servers saw, request by request.
+//
+// A soak is a row of episodes. In a calm one there is only planned work, in series
+// and side by side, and nothing may be lost; in the others faults join. Its seed
+// fixes the episodes and the load.
+//
+// # Usage
+//
+//	err := soak.Run(ctx, os.Stdout, soak.NewOptions(time.Minute, seed))
 package soak
 
 import (
@@ -7,116 +16,240 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net/http"
+	"slices"
 	"time"
 
-	"savorygap.example/savorygap-bench/internal/demo"
-	"savorygap.example/savorygap-bench/internal/fleet"
-	"savorygap.example/savorygap-bench/internal/load"
+	"savorygap.example/savorygap-bench/internal/site"
 )
 
 const (
-	rate        = 150 // requests a second
-	chunk       = 10 * time.Second
-	healTime    = 8 * time.Second
-	atOnce      = 2
-	shortest    = 500 * time.Millisecond
-	longest     = 4 * time.Second
-	readyLimit  = 40 * time.Second
-	growthLimit = 3.0 // times the goroutines at the start
+	shortest   = 500 * time.Millisecond
+	longest    = 3 * time.Second
+	atOnceMost = 4
+	calmShare  = 0.4
+	rest       = 500 * time.Millisecond
+	readyLimit = 20 * time.Second
+	// recoverBound is within which time after the last fault all is served again.
+	recoverBound = 15 * time.Second
+	settle       = touchBound + time.Second
+	// finalRequests is how many requests each host must serve at the end.
+	finalRequests = 5
+	// shown is how many findings are printed.
+	shown = 12
 )
 
-// Options say how long to run and under which seed.
+// Options say how long to run, under which seed, and on what site.
 type Options struct {
 	length time.Duration
 	seed   uint64
+	subnet int
+	rounds int
+	binary string
 }
 
-// NewOptions returns options.
+// NewOptions returns options for a site of six hosts.
 func NewOptions(length time.Duration, seed uint64) Options {
-	return Options{length: length, seed: seed}
+	return Options{length: length, seed: seed, subnet: 30, rounds: 1}
 }
 
-// Run runs the soak and returns an error when anything happened that must not.
+// On returns the options with the third byte of all addresses.
+func (o Options) On(subnet int) Options {
+	o.subnet = subnet
+	return o
+}
+
+// Sized returns the options with six hosts a round.
+func (o Options) Sized(rounds int) Options {
+	o.rounds = rounds
+	return o
+}
+
+// WithBinary returns the options with a node program that was built already.
+func (o Options) WithBinary(path string) Options {
+	o.binary = path
+	return o
+}
+
+// FoundError reports what must not be.
+type FoundError struct {
+	seed     uint64
+	findings []finding
+}
+
+// Error implements error.
+func (e *FoundError) Error() string {
+	return fmt.Sprintf("seed %d: found %d breaches, the first: %s %s", e.seed, len(e.findings), e.findings[0].rule, e.findings[0].text)
+}
+
+// run is a soak under way.
+type run struct {
+	options Options
+	out     io.Writer
+	site    *site.Site
+	rng     *rand.Rand
+	notes   *notes
+	callers *callers
+	began   time.Time
+}
+
+// Run runs a soak. It returns *FoundError when a promise was broken.
 func Run(ctx context.Context, w io.Writer, o Options) error {
-	f, err := demo.Start(ctx, w)
+	r, stop, err := start(ctx, w, o)
 	if err != nil {
 		return err
 	}
-	defer f.Stop()
-	before, err := goroutines(ctx, f)
+	defer stop()
+	sending, quit := context.WithCancel(ctx)
+	defer quit()
+	r.send(ctx, sending)
+	for time.Since(r.began) < r.options.length && ctx.Err() == nil {
+		r.episode(ctx)
+	}
+	r.recover(ctx)
+	quit()
+	time.Sleep(patience)
+	return r.report(ctx)
+}
+
+// start starts a site and the tasks of a soak. stop ends them.
+func start(ctx context.Context, w io.Writer, o Options) (*run, func(), error) {
+	s, err := site.Start(ctx, site.NewPlan(o.subnet, site.SampleHosts(o.rounds)).WithBinary(o.binary))
 	if err != nil {
-		return err
+		return nil, nil, err
 	}
-	faulting, stop := context.WithTimeout(ctx, o.length)
-	defer stop()
-	done := make(chan []string, atOnce)
-	for i := range atOnce {
-		rng := rand.New(rand.NewPCG(o.seed, uint64(i)))
-		go func() { done <- inject(faulting, w, f, rng, i) }()
-	}
-	samples := send(faulting, w, f, o.seed)
-	var wrong []string
-	for range atOnce {
-		wrong = append(wrong, <-done...)
-	}
-	time.Sleep(healTime)
-	if err := f.AwaitReady(readyLimit); err != nil {
-		return err
+	if err := s.AwaitReady(readyLimit); err != nil {
+		s.Stop()
+		return nil, nil, err
 	}
-	return report(ctx, w, f, samples, wrong, before)
+	tasks, cancel := context.WithCancel(ctx)
+	r := &run{options: o, out: w, site: s, rng: rand.New(rand.NewPCG(o.seed, 0)), notes: newNotes(), callers: newCallers(), began: time.Now()}
+	go r.notes.run(tasks)
+	go r.callers.run(tasks)
+	return r, func() {
+		cancel()
+		s.Stop()
+	}, nil
 }
 
-// send loads the fleet in chunks until the time is over.
-func send(ctx context.Context, w io.Writer, f *fleet.Fleet, seed uint64) []load.Sample {
-	var samples []load.Sample
-	var callers []string
-	for _, h := range f.Hosts() {
-		callers = append(callers, h.Callers())
+// send begins the load and the probes of every host.
+func (r *run) send(ctx, sending context.Context) {
+	version, at := r.site.Configure()
+	r.notes.write(func(rec *record) { rec.changes = append(rec.changes, change{version: version, acknowledged: at}) })
+	for i, h := range r.site.Hosts() {
+		go r.callers.load(sending, h, rand.New(rand.NewPCG(r.options.seed, uint64(i)+1)))
+		go r.callers.probe(sending, h, func() int64 { return r.newest(ctx) })
 	}
-	for i := uint64(0); ctx.Err() == nil; i++ {
-		r := load.Run(ctx, f.Client(), load.NewPlan(rate, chunk, seed*1000+i, demo.Flows(), callers).Bursty(0.5))
-		samples = append(samples, r.Samples()...)
-		fmt.Fprintf(w, "%s sent %d answered %d not run %d unknown %d cut %d no answer %d p99 %s\n", time.Now().Format("15:04:05"), r.Sent(),
-			r.Count("answered"), r.Count("not-run"), r.Count("unknown"), r.Count("cut"), r.Count("no-answer"), r.Quantile(99))
+}
+
+// newest returns the newest version that is known to be in the store.
+func (r *run) newest(ctx context.Context) int64 {
+	changes := r.notes.read(ctx).changes
+	if len(changes) == 0 {
+		return 0
 	}
-	return samples
+	return changes[len(changes)-1].version
 }
 
-func goroutines(ctx context.Context, f *fleet.Fleet) (int, error) {
-	most := 0
-	for _, h := range f.Hosts() {
-		d, err := h.Dump(ctx)
-		if err != nil {
-			return 0, err
+// episode lets a few works go on side by side, and waits for their end. A calm
+// one begins when the faults before it are over for long enough to be judged.
+func (r *run) episode(ctx context.Context) {
+	choice := faults()
+	if r.rng.Float64() < calmShare {
+		time.Sleep(settle)
+		choice = plannedWork()
+	}
+	hosts := slices.Clone(r.site.Hosts())
+	r.rng.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+	count := 1 + r.rng.IntN(atOnceMost*r.options.rounds)
+	done := make(chan struct{}, count)
+	storeBusy := false
+	for i := range min(count, len(hosts)) {
+		w, h, d := choice[r.rng.IntN(len(choice))], hosts[i], length(r.rng)
+		if w.store && storeBusy {
+			done <- struct{}{}
+			continue
 		}
-		most = max(most, d.Goroutines())
+		storeBusy = storeBusy || w.store
+		go func() {
+			r.one(ctx, w, h, d)
+			done <- struct{}{}
+		}()
+	}
+	for range min(count, len(hosts)) {
+		<-done
 	}
-	return most, nil
+	if err := r.site.AwaitReady(readyLimit); err != nil {
+		r.notes.fail(err.Error())
+	}
+	time.Sleep(rest)
 }
 
-func report(ctx context.Context, w io.Writer, f *fleet.Fleet, samples []load.Sample, wrong []string, before int) error {
-	v, err := f.Verify(ctx, samples, demo.Idempotent)
-	if err != nil {
-		return err
+// one carries out a work and notes when it was.
+func (r *run) one(ctx context.Context, w work, h *site.Host, d time.Duration) {
+	t := trouble{name: w.name, planned: w.planned, from: time.Now(), to: time.Now().Add(time.Hour)}
+	where := "the store"
+	if !w.store {
+		t.host, where = h, h.Name()
 	}
-	after, err := goroutines(ctx, f)
-	if err != nil {
-		return err
+	index := make(chan int, 1)
+	r.notes.write(func(rec *record) {
+		rec.troubles = append(rec.troubles, t)
+		index <- len(rec.troubles) - 1
+	})
+	fmt.Fprintf(r.out, "%6.2f %s, at %s, for %s\n", time.Since(r.began).Seconds(), w.name, where, d.Round(time.Millisecond))
+	w.run(ctx, r.site, r.notes, h, d)
+	end := time.Now()
+	r.notes.write(func(rec *record) { rec.troubles[<-index].to = end })
+}
+
+// recover checks that every host serves again soon after the last fault.
+func (r *run) recover(ctx context.Context) {
+	until := time.Now().Add(recoverBound)
+	for _, h := range r.site.Hosts() {
+		client := newClient()
+		for served := 0; served < finalRequests && ctx.Err() == nil; {
+			s := send(client, h, flows()[0], flows()[0].path, patience)
+			r.callers.note(s)
+			if s.status == http.StatusOK {
+				served++
+			} else if time.Now().After(until) {
+				r.notes.fail(fmt.Sprintf("%s does not serve %s after the last fault", h.Name(), recoverBound))
+				return
+			}
+		}
+		client.CloseIdleConnections()
 	}
-	if float64(after) > growthLimit*float64(before) {
-		wrong = append(wrong, fmt.Sprintf("goroutines grew from %d to %d", before, after))
+}
+
+func (r *run) report(ctx context.Context) error {
+	samples := r.callers.samples(ctx)
+	entries := r.site.Ledger().Entries(ctx)
+	entries = slices.DeleteFunc(entries, func(e site.Entry) bool { return e.At().Before(r.began) })
+	counts := map[string]int{}
+	for _, s := range samples {
+		counts[outcome(s)]++
 	}
-	fmt.Fprintf(w, "%d requests accounted for; %d above slots; %d invariants broken; goroutines %d to %d\n",
-		v.Requests(), v.Over(), v.Breaches(), before, after)
-	for _, line := range append(wrong, v.Wrong()...) {
-		fmt.Fprintln(w, "WRONG:", line)
+	fmt.Fprintf(r.out, "%d requests, %d runs: %v\n", len(samples), len(entries), counts)
+	found := check(samples, entries, r.notes.read(ctx))
+	if len(found) == 0 {
+		fmt.Fprintln(r.out, "all promises held")
+		return nil
 	}
-	if v.Err() != nil {
-		return v.Err()
+	for _, f := range found[:min(shown, len(found))] {
+		fmt.Fprintf(r.out, "%6.2f %s: %s\n", f.at.Sub(r.began).Seconds(), f.rule, f.text)
 	}
-	if len(wrong) > 0 {
-		return fmt.Errorf("found %d wrong outcomes", len(wrong))
+	return &FoundError{seed: r.options.seed, findings: found}
+}
+
+func outcome(s sample) string {
+	switch {
+	case s.left:
+		return "caller left"
+	case s.refused:
+		return "no connection"
+	case s.status == 0:
+		return "no answer"
 	}
-	fmt.Fprintln(w, "all invariants held")
-	return nil
+	return fmt.Sprint(s.status)
 }
--- a/savorygap-node/internal/links/links.go
+++ b/savorygap-node/internal/links/links.go
@@ -47,7 +47,7 @@
 		p.Registrar().Start,
 		p.Follower().Heard,
 	)
-	self := fleet.NewMember(t.Host(), t.LinksAddress(), t.DataCentre(), t.Service()).WithSpeed(t.LinkSpeed())
+	self := fleet.NewMember(t.Host(), t.AdvertisedAddress(), t.DataCentre(), t.Service()).WithSpeed(t.LinkSpeed())
 	server := link.NewServer(k.Ask, k.Withdraw, k.Submit, k.Cancel, k.Drop)
 	f, err := fleet.New(self, p.Charts(), hooks, server, p.Clock(), p.Log())
 	if err != nil {
--- a/savorygap-node/internal/settings/settings.go
+++ b/savorygap-node/internal/settings/settings.go
@@ -37,6 +37,7 @@
 type fileListen struct {
 	Callers       string `yaml:"callers"`
 	Links         string `yaml:"links"`
+	Advertised    string `yaml:"advertised"`
 	Ready         string `yaml:"ready"`
 	Announcements string `yaml:"announcements"`
 	Metrics       string `yaml:"metrics"`
@@ -137,6 +138,15 @@
 // CallersAddress returns where callers connect.
 func (t *Tree) CallersAddress() string { return t.file.Listen.Callers }
 
+// AdvertisedAddress returns where other nodes reach LinksAddress; the two are the
+// same unless set otherwise.
+func (t *Tree) AdvertisedAddress() string {
+	if t.file.Listen.Advertised == "" {
+		return t.file.Listen.Links
+	}
+	return t.file.Listen.Advertised
+}
+
 // LinksAddress returns where other nodes connect.
 func (t *Tree) LinksAddress() string { return t.file.Listen.Links }
 
--- a/savorygap-node/internal/storage/storage.go
+++ b/savorygap-node/internal/storage/storage.go
@@ -40,7 +40,7 @@
 		ReadBufferSize: buffer, WriteBufferSize: buffer,
 	}}
 	store := platform.NewStore(t.StoreAddress(), client, p.Metrics().StoreCalled)
-	member, err := fleet.EncodeMember(fleet.NewMember(t.Host(), t.LinksAddress(), t.DataCentre(), t.Service()))
+	member, err := fleet.EncodeMember(fleet.NewMember(t.Host(), t.AdvertisedAddress(), t.DataCentre(), t.Service()))
 	if err != nil {
 		return err
 	}
