fix(bench): let one task write the soak's lines

Cause: works of an episode wrote their lines side by side; the race detector stopped TestSoakKeepsThePromises. Change: the task that owns the record writes them.

--- a/savorygap-bench/internal/soak/soak.go
+++ b/savorygap-bench/internal/soak/soak.go
@@ -196,8 +196,8 @@
 	r.notes.write(func(rec *record) {
 		rec.troubles = append(rec.troubles, t)
 		index <- len(rec.troubles) - 1
+		fmt.Fprintf(r.out, "%6.2f %s, at %s, for %s\n", t.from.Sub(r.began).Seconds(), w.name, where, d.Round(time.Millisecond))
 	})
-	fmt.Fprintf(r.out, "%6.2f %s, at %s, for %s\n", time.Since(r.began).Seconds(), w.name, where, d.Round(time.Millisecond))
 	w.run(ctx, r.site, r.notes, h, d)
 	end := time.Now()
 	r.notes.write(func(rec *record) { rec.troubles[<-index].to = end })
@@ -223,7 +223,7 @@
 }
 
 func (r *run) report(ctx context.Context) error {
-	samples := r.callers.samples(ctx)
+	done, samples := r.notes.read(ctx), r.callers.samples(ctx)
 	entries := r.site.Ledger().Entries(ctx)
 	entries = slices.DeleteFunc(entries, func(e site.Entry) bool { return e.At().Before(r.began) })
 	counts := map[string]int{}
@@ -231,7 +231,7 @@
 		counts[outcome(s)]++
 	}
 	fmt.Fprintf(r.out, "%d requests, %d runs: %v\n", len(samples), len(entries), counts)
-	found := check(samples, entries, r.notes.read(ctx))
+	found := check(samples, entries, done)
 	if len(found) == 0 {
 		fmt.Fprintln(r.out, "all promises held")
 		return nil
