--- a/lib/fleet/fetch.go
+++ b/lib/fleet/fetch.go
@@ -72,7 +72,7 @@
 	source := f.sources[rand.IntN(len(f.sources))]
 	f.log.Write("configuration-fetch", "version", f.heard.Configuration(), "evacuation", f.heard.Evacuation(),
 		"in_force", have.Configuration(), "evacuation_in_force", have.Evacuation(), "peer", source.Peer())
-	source.SendFetch()
+	source.Send(link.Fetch)
 	f.fetchAt = f.clock.After(fetchAgain)
 }
 
@@ -101,7 +101,7 @@
 		f.situation.packed, f.situation.text = packed, nil
 	}
 	if !f.handed.take(f.clock.Now(), len(f.situation.packed)) {
-		l.SendBusy()
+		l.Send(link.Busy)
 		return
 	}
 	var list []link.Evacuation
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -51,6 +51,12 @@
 	redialMin    = 200 * time.Millisecond
 	redialMax    = 2 * time.Second
 
+	// goneAfter is for how long a node must be out of reach before its entry is
+	// removed; goneAgain is the pause between two tries.
+	goneAfter = 30 * time.Second
+	goneAgain = 10 * time.Second
+	// settledAfter is after how long a linked node's entry must be in the store.
+	settledAfter = 3 * time.Second
 	// turnPower is the power of a host's speed with which its turns grow.
 	turnPower = 1.5
 	// leastSpeed, in bytes a second, stands for the speed of a host that does not
@@ -71,13 +77,16 @@
 	departures func([]registry.Record)
 	entry      func(*registry.Record)
 	turn       func(peer string, begins bool)
+	lapsed     func()
+	gone       func(registry.Record)
 }
 
 // NewHooks returns hooks. decode reads the operators' text; the others are told
 // of news: the situation, the peers, the number of nodes, the servers that leave,
-// this node's own entry in the store, and a peer's turn at watching the store.
-func NewHooks(decode func([]byte) (*catalogue.Catalogue, error), situation func(Situation), peers func([]Peer), nodes func(int), departures func([]registry.Record), entry func(*registry.Record), turn func(peer string, begins bool)) Hooks {
-	return Hooks{decode: decode, situation: situation, peers: peers, nodes: nodes, departures: departures, entry: entry, turn: turn}
+// this node's own entry in the store, a peer's turn at watching the store, that the
+// store has lost this node's entry, and that the node of an entry is gone.
+func NewHooks(decode func([]byte) (*catalogue.Catalogue, error), situation func(Situation), peers func([]Peer), nodes func(int), departures func([]registry.Record), entry func(*registry.Record), turn func(peer string, begins bool), lapsed func(), gone func(registry.Record)) Hooks {
+	return Hooks{decode: decode, situation: situation, peers: peers, nodes: nodes, departures: departures, entry: entry, turn: turn, lapsed: lapsed, gone: gone}
 }
 
 // Fleet is the task that knows the other nodes.
@@ -111,6 +120,8 @@
 	retryAt time.Time
 	backoff time.Duration
 	since   time.Time
+	failed  bool
+	goneAt  time.Time
 }
 
 // peerLink is a link with what its peer said last.
@@ -133,6 +144,7 @@
 	turn     *bool
 	fetch    *link.Link
 	busy     *link.Link
+	members  []registry.Record
 	document *documented
 	ended    *ended
 	close    bool
@@ -293,6 +305,8 @@
 		f.handOver(m.fetch)
 	case m.busy != nil:
 		f.handleBusy(m.busy)
+	case m.members != nil:
+		f.learnMembers(ctx, m.members)
 	case m.document != nil:
 		f.handleDocument(m.document)
 	case m.ended != nil:
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -31,6 +31,8 @@
 	peers      chan []fleet.Peer
 	turns      chan bool
 	entries    chan *registry.Record
+	lapsed     chan struct{}
+	gone       chan registry.Record
 	stop       context.CancelFunc
 }
 
@@ -38,6 +40,11 @@
 
 // newNodeAt returns a node whose host sends speed bytes a second.
 func newNodeAt(t *testing.T, name string, speed float64) *node {
+	t.Helper()
+	return newNodeWith(t, name, speed, clockwork.NewRealClock())
+}
+
+func newNodeWith(t *testing.T, name string, speed float64, clock clockwork.Clock) *node {
 	t.Helper()
 	charts, err := chart.Embedded()
 	must.NoError(t, err)
@@ -45,14 +52,14 @@
 	must.NoError(t, err)
 	n := &node{
 		address: listener.Addr().String(), situations: make(chan fleet.Situation, 64), peers: make(chan []fleet.Peer, 64),
-		turns: make(chan bool, 64), entries: make(chan *registry.Record, 4),
+		turns: make(chan bool, 64), entries: make(chan *registry.Record, 4), lapsed: make(chan struct{}, 16), gone: make(chan registry.Record, 16),
 	}
-	clock := clockwork.NewRealClock()
 	decode := func(text []byte) (*catalogue.Catalogue, error) {
 		return catalogue.New(uint64(len(text)), nil, nil, catalogue.DefaultLimits()), nil
 	}
 	hooks := fleet.NewHooks(decode, func(s fleet.Situation) { n.situations <- s }, func(p []fleet.Peer) { n.peers <- p },
-		func(int) {}, func([]registry.Record) {}, func(r *registry.Record) { n.entries <- r }, func(_ string, begins bool) { n.turns <- begins })
+		func(int) {}, func([]registry.Record) {}, func(r *registry.Record) { n.entries <- r }, func(_ string, begins bool) { n.turns <- begins },
+		func() { n.lapsed <- struct{}{} }, func(r registry.Record) { n.gone <- r })
 	server := link.NewServer(func(place.Key, placement.Ask, func(placement.Event)) {}, func(place.Key) {},
 		func(place.Key, *placement.Request) {}, func(place.Key) {}, func(uint64) {})
 	self := fleet.NewMember(name, n.address, "north", "shop").WithSpeed(speed)
@@ -82,6 +89,22 @@
 	}
 }
 
+// awaitPeers waits until the number of peers is as wanted.
+func (n *node) awaitPeers(t *testing.T, holds func(count int) bool) {
+	t.Helper()
+	deadline := time.After(5 * time.Second)
+	for {
+		select {
+		case p := <-n.peers:
+			if holds(len(p)) {
+				return
+			}
+		case <-deadline:
+			t.Fatal("the peers were not as wanted in 5 s")
+		}
+	}
+}
+
 func configuration(version uint64, text string) registry.Record {
 	return registry.NewRecord(registry.KindConfiguration, "", []byte(text)).At(version)
 }
@@ -128,9 +151,7 @@
 	a.fleet.Learn(registry.NewUpdate(start, 5, true))
 	b.fleet.Learn(registry.NewUpdate(start, 5, true))
 	a.await(t, func(s fleet.Situation) bool { return s.Version() == 5 })
-	for len(<-a.peers) == 0 {
-		continue
-	}
+	a.awaitPeers(t, func(count int) bool { return count > 0 })
 	a.fleet.Learn(registry.NewUpdate([]registry.Record{configuration(8, "xyz"), evacuation(9, "north")}, 9, false))
 	s := b.await(t, func(s fleet.Situation) bool { return s.Version() == 8 })
 	must.True(t, s.Evacuated("north"))
@@ -158,9 +179,7 @@
 		n.fleet.Learn(registry.NewUpdate(start, 40, true))
 	}
 	for _, n := range nodes {
-		for len(<-n.peers) < others {
-			continue
-		}
+		n.awaitPeers(t, func(count int) bool { return count >= others })
 	}
 	began := time.Now()
 	first.fleet.Learn(registry.NewUpdate([]registry.Record{configuration(41, string(text))}, 41, false))
@@ -182,9 +201,7 @@
 		n.fleet.Learn(registry.NewUpdate(start, 5, true))
 	}
 	for _, n := range []*node{fast, slow} {
-		for len(<-n.peers) == 0 {
-			continue
-		}
+		n.awaitPeers(t, func(count int) bool { return count > 0 })
 	}
 	must.Greater(t, 0.9, fast.fleet.Share())
 	must.InDelta(t, 1, fast.fleet.Share()+slow.fleet.Share(), 1e-9)
@@ -193,9 +210,7 @@
 func TestTurnsAtTheStoreAreToldToPeers(t *testing.T) {
 	a, b := newNode(t, "a"), newNode(t, "b")
 	a.fleet.Learn(registry.NewUpdate([]registry.Record{configuration(5, "x"), b.member.At(2)}, 5, true))
-	for len(<-a.peers) == 0 {
-		continue
-	}
+	a.awaitPeers(t, func(count int) bool { return count > 0 })
 	a.fleet.Turn(true)
 	a.fleet.Turn(false)
 	must.True(t, <-b.turns)
@@ -206,9 +221,7 @@
 	a, b := newNode(t, "a"), newNode(t, "b")
 	start := []registry.Record{configuration(5, "x"), a.member.At(1), b.member.At(2)}
 	a.fleet.Learn(registry.NewUpdate(start, 5, true))
-	for len(<-a.peers) == 0 {
-		continue
-	}
+	a.awaitPeers(t, func(count int) bool { return count > 0 })
 	a.fleet.Learn(registry.NewUpdate([]registry.Record{a.member.At(6).Gone(), b.member.At(6).Gone()}, 6, false))
 	b.fleet.SetState(link.NewState("shop", "i-1", true))
 	for {
@@ -219,14 +232,60 @@
 		}
 	}
 	b.stop()
-	for len(<-a.peers) != 0 {
-		continue
-	}
+	a.awaitPeers(t, func(count int) bool { return count == 0 })
 }
 
 func TestEntryOfAnEarlierProcessIsHandedOver(t *testing.T) {
 	a := newNode(t, "a")
-	a.fleet.Learn(registry.NewUpdate([]registry.Record{a.member.At(3).Under(77)}, 5, true))
+	a.fleet.Learn(registry.NewUpdate([]registry.Record{a.member.At(3)}, 5, true))
 	own := <-a.entries
-	must.Eq(t, registry.Lease(77), own.Lease())
+	must.Eq(t, uint64(3), own.Version())
+}
+
+// TestNodeIsToldThatTheStoreLostItsEntry lets one node see that the entries of both
+// are gone: it restores its own, and the other hears of it over the link.
+func TestNodeIsToldThatTheStoreLostItsEntry(t *testing.T) {
+	a, b := newNode(t, "a"), newNode(t, "b")
+	start := []registry.Record{configuration(5, "x"), a.member.At(1), b.member.At(2)}
+	a.fleet.Learn(registry.NewUpdate(start, 5, true))
+	a.awaitPeers(t, func(count int) bool { return count > 0 })
+	a.fleet.Learn(registry.NewUpdate([]registry.Record{a.member.At(6).Gone(), b.member.At(6).Gone()}, 6, false))
+	<-a.lapsed
+	<-b.lapsed
+}
+
+// TestMembersThatATurnBroughtAreToldToPeers lets a node's turn bring the entry of a
+// third node, of which the peer's own read of the store knew nothing.
+func TestMembersThatATurnBroughtAreToldToPeers(t *testing.T) {
+	a, b, c := newNode(t, "a"), newNode(t, "b"), newNode(t, "c")
+	start := []registry.Record{configuration(5, "x"), a.member.At(1), b.member.At(2)}
+	a.fleet.Learn(registry.NewUpdate(start, 5, true))
+	b.fleet.Learn(registry.NewUpdate(start, 5, true))
+	b.awaitPeers(t, func(count int) bool { return count > 0 })
+	a.fleet.Learn(registry.NewUpdate([]registry.Record{c.member.At(6)}, 6, false))
+	b.awaitPeers(t, func(count int) bool { return count == 2 })
+}
+
+// TestEntryOfANodeOutOfReachIsRemovedAfterLong has a member listed at an address
+// where nobody listens.
+func TestEntryOfANodeOutOfReachIsRemovedAfterLong(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a := newNodeWith(t, "a", 0, clock)
+	dead := fleet.NewMember("dead", "127.0.0.1:1", "north", "shop")
+	record, err := fleet.EncodeMember(dead)
+	must.NoError(t, err)
+	a.fleet.Learn(registry.NewUpdate([]registry.Record{configuration(5, "x"), a.member.At(1), record.At(3)}, 5, true))
+	began := clock.Now()
+	for {
+		select {
+		case gone := <-a.gone:
+			must.Eq(t, "dead", gone.Name())
+			must.Eq(t, uint64(3), gone.Version())
+			must.GreaterEq(t, 30*time.Second, clock.Since(began))
+			return
+		case <-time.After(2 * time.Millisecond):
+			must.Less(t, time.Minute, clock.Since(began))
+			clock.Advance(250 * time.Millisecond)
+		}
+	}
 }
--- a/lib/fleet/links.go
+++ b/lib/fleet/links.go
@@ -6,9 +6,13 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"savorygap.example/lib/chart"
 	"savorygap.example/lib/link"
+	"savorygap.example/lib/registry"
 )
 
 func (f *Fleet) fire(e chart.Event) {
@@ -58,9 +62,8 @@
 		func(l *link.Link, h link.Hello) { f.inbox.Send(message{hello: &helloed{link: l, hello: h}}) },
 		func(l *link.Link, s link.State) { f.inbox.Send(message{state: &stated{link: l, state: s}}) },
 		func(l *link.Link, k link.Known) { f.inbox.Send(message{notice: &noticed{link: l, known: k}}) },
-		func(l *link.Link, begins bool) { f.hooks.turn(l.Peer(), begins) },
-		func(l *link.Link) { f.inbox.Send(message{fetch: l}) },
-		func(l *link.Link) { f.inbox.Send(message{busy: l}) },
+		f.signalled,
+		func(records []registry.Record) { f.inbox.Send(message{members: records}) },
 		func(l *link.Link, d link.Document) {
 			f.inbox.Send(message{document: &documented{link: l, document: d}})
 		},
@@ -68,6 +71,20 @@
 	)
 }
 
+// signalled takes in a signal. It is called from the link's task.
+func (f *Fleet) signalled(l *link.Link, s link.Signal) {
+	switch s {
+	case link.TurnBegins, link.TurnEnds:
+		f.hooks.turn(l.Peer(), s == link.TurnBegins)
+	case link.Fetch:
+		f.inbox.Send(message{fetch: l})
+	case link.Busy:
+		f.inbox.Send(message{busy: l})
+	case link.Lapsed:
+		f.hooks.lapsed()
+	}
+}
+
 func (f *Fleet) hello() link.Hello {
 	return link.NewHello(f.self.node, f.self.address, f.self.dataCentre, f.state, f.situation.known()).WithSpeed(f.self.speed)
 }
@@ -92,7 +109,7 @@
 
 func (f *Fleet) handleDialled(ctx context.Context, d *dialled) {
 	c := f.contact(d.node)
-	c.dialing = false
+	c.dialing, c.failed = false, d.err != nil
 	if d.err != nil {
 		c.backoff = min(max(2*c.backoff, redialMin), redialMax)
 		c.retryAt = f.clock.Now().Add(c.backoff/2 + rand.N(c.backoff/2))
@@ -132,8 +149,12 @@
 }
 
 func (f *Fleet) sendTurn(begins bool) {
+	s := link.TurnEnds
+	if begins {
+		s = link.TurnBegins
+	}
 	for _, p := range f.links {
-		p.link.SendTurn(begins)
+		p.link.Send(s)
 	}
 }
 
@@ -189,6 +210,30 @@
 	return c
 }
 
+// bury removes the entry of a node that nobody has reached for long. One of the
+// nodes that are linked does so, and all agree mostly on which.
+func (f *Fleet) bury(m Member, c *contact, now time.Time) {
+	if !c.failed || now.Sub(c.since) < goneAfter || now.Before(c.goneAt) || !f.buries(m.node) {
+		return
+	}
+	c.goneAt = now.Add(goneAgain)
+	f.log.Write("member-gone", "peer", m.node, "address", m.address, "out_of_reach_ms", now.Sub(c.since).Milliseconds())
+	f.hooks.gone(registry.NewRecord(registry.KindMember, m.node, nil).At(m.version))
+}
+
+// buries reports whether this node comes first for a gone one, by a hash of both
+// names.
+func (f *Fleet) buries(gone string) bool {
+	rank := func(node string) uint64 { return xxhash.Sum64String(node + "/" + gone) }
+	own := rank(f.self.node)
+	for _, p := range f.links {
+		if p.ready && rank(p.hello.Node()) > own {
+			return false
+		}
+	}
+	return true
+}
+
 // tick dials the members without a link and fetches what is missing.
 func (f *Fleet) tick(ctx context.Context) {
 	if f.closed {
@@ -205,6 +250,7 @@
 			continue
 		}
 		c := f.contact(node)
+		f.bury(m, c, now)
 		if c.dialing || now.Before(c.retryAt) || f.self.node > node && now.Sub(c.since) < dialPatience {
 			continue
 		}
--- a/lib/fleet/member.go
+++ b/lib/fleet/member.go
@@ -15,6 +15,7 @@
 	dataCentre string
 	service    string
 	speed      float64
+	version    uint64
 }
 
 // NewMember returns a member that takes links at address.
--- a/lib/fleet/situation.go
+++ b/lib/fleet/situation.go
@@ -38,7 +38,7 @@
 		f.members = map[string]Member{}
 		n.evacuations = f.endedAt(u)
 	}
-	var departures []registry.Record
+	var departures, changed []registry.Record
 	var own *registry.Record
 	for _, r := range u.Records() {
 		switch r.Kind() {
@@ -50,6 +50,10 @@
 			n.evacuations = append(n.evacuations, link.NewEvacuation(r.Name(), r.Version(), !r.Removed()))
 		case registry.KindMember:
 			f.learnMember(r)
+			changed = append(changed, r)
+			if r.Removed() {
+				f.tellLapsed(r.Name())
+			}
 			if r.Name() == f.self.node && !r.Removed() {
 				own = &r
 			}
@@ -63,6 +67,11 @@
 		f.hooks.departures(departures)
 	}
 	f.putInForce(n)
+	if u.Whole() {
+		f.tellUnlisted()
+	} else if len(changed) > 0 {
+		f.tellMembers(changed)
+	}
 	if !f.started && u.Whole() {
 		f.started = true
 		f.hooks.entry(own)
@@ -100,9 +109,55 @@
 		f.log.Write("member-unreadable", "node", r.Name(), "version", r.Version(), "error", err.Error())
 		return
 	}
+	m.version = r.Version()
 	f.members[m.node] = m
 }
 
+// tellMembers passes on what a turn at the store brought: the peers' own turns come
+// much later.
+func (f *Fleet) tellMembers(records []registry.Record) {
+	for _, p := range f.links {
+		p.link.SendMembers(records)
+	}
+}
+
+// learnMembers takes in what a peer's turn at the store brought.
+func (f *Fleet) learnMembers(ctx context.Context, records []registry.Record) {
+	for _, r := range records {
+		if r.Version() > f.members[r.Name()].version {
+			f.learnMember(r)
+		}
+	}
+	f.hooks.nodes(len(f.members))
+	f.tick(ctx)
+}
+
+// tellLapsed tells a node that lives that its entry is gone from the store.
+func (f *Fleet) tellLapsed(node string) {
+	if node == f.self.node {
+		f.hooks.lapsed()
+		return
+	}
+	for _, p := range f.links {
+		if p.ready && p.hello.Node() == node {
+			p.link.Send(link.Lapsed)
+			return
+		}
+	}
+}
+
+// tellUnlisted tells the nodes that live and that a whole read did not list.
+func (f *Fleet) tellUnlisted() {
+	if _, listed := f.members[f.self.node]; !listed && f.started {
+		f.hooks.lapsed()
+	}
+	for _, p := range f.links {
+		if _, listed := f.members[p.hello.Node()]; p.ready && !listed && f.clock.Since(p.since) > settledAfter {
+			p.link.Send(link.Lapsed)
+		}
+	}
+}
+
 // putInForce takes what is newer of the news into the situation.
 func (f *Fleet) putInForce(n news) {
 	next := f.situation
--- a/lib/link/codec.go
+++ b/lib/link/codec.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"savorygap.example/lib/placement"
+	"savorygap.example/lib/registry"
 )
 
 const (
@@ -38,10 +39,9 @@
 	typePong
 	typeState
 	typeNotice
-	typeFetch
 	typeDocument
-	typeTurn
-	typeBusy
+	typeSignal
+	typeMembers
 )
 
 // FrameError reports a frame that cannot be read.
@@ -147,18 +147,25 @@
 		return encodeState(newEncoder(typeState, 64), *m.state).frame()
 	case m.notice != nil:
 		return newEncoder(typeNotice, 24).number(1, m.notice.configuration).number(2, m.notice.evacuation).frame()
-	case m.turn != nil:
-		return newEncoder(typeTurn, 8).flag(1, *m.turn).frame()
-	case m.fetch:
-		return newEncoder(typeFetch, 0).frame()
-	case m.busy:
-		return newEncoder(typeBusy, 0).frame()
+	case m.signal != noSignal:
+		return newEncoder(typeSignal, 8).number(1, uint64(m.signal)).frame()
+	case m.members != nil:
+		return encodeMembers(m.members)
 	case m.document != nil:
 		return encodeDocument(m.document)
 	}
 	return newEncoder(typePing, 0).frame()
 }
 
+// encodeMembers writes each record as four texts by turns.
+func encodeMembers(records []registry.Record) []byte {
+	e := newEncoder(typeMembers, 160*len(records))
+	for _, r := range records {
+		e.bytes(3, []byte(r.Name())).bytes(3, r.Value()).text(3, strconv.FormatUint(r.Version(), 10)).text(3, strconv.FormatBool(r.Removed()))
+	}
+	return e.frame()
+}
+
 // encodeDocument writes each evacuation as three texts by turns.
 func encodeDocument(d *Document) []byte {
 	e := newEncoder(typeDocument, len(d.packed)+256).number(1, d.version).bytes(2, d.packed)
--- a/lib/link/decode.go
+++ b/lib/link/decode.go
@@ -10,6 +10,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"savorygap.example/lib/placement"
+	"savorygap.example/lib/registry"
 )
 
 // fields holds the decoded fields of one frame: the last value of each number,
@@ -119,19 +120,40 @@
 	case typeNotice:
 		known := NewKnown(f.numbers[1], f.numbers[2])
 		return Message{notice: &known}, true, nil
-	case typeTurn:
-		begins := number != 0
-		return Message{turn: &begins}, true, nil
-	case typeFetch:
-		return Message{fetch: true}, true, nil
-	case typeBusy:
-		return Message{busy: true}, true, nil
+	case typeSignal:
+		return decodeSignal(number)
+	case typeMembers:
+		return decodeMembers(f)
 	case typeDocument:
 		return decodeDocument(f)
 	}
 	return Message{}, false, nil
 }
 
+// decodeSignal reports false for a signal that this release does not know.
+func decodeSignal(number uint64) (Message, bool, error) {
+	if number == uint64(noSignal) || number > uint64(Lapsed) {
+		return Message{}, false, nil
+	}
+	return Message{signal: Signal(number)}, true, nil
+}
+
+func decodeMembers(f *fields) (Message, bool, error) {
+	records := make([]registry.Record, 0, len(f.list)/4)
+	for i := 0; i+3 < len(f.list); i += 4 {
+		version, err := strconv.ParseUint(f.list[i+2], 10, 64)
+		if err != nil {
+			return Message{}, false, &FrameError{kind: typeMembers, reason: err.Error()}
+		}
+		r := registry.NewRecord(registry.KindMember, f.list[i], []byte(f.list[i+1])).At(version)
+		if f.list[i+3] == "true" {
+			r = r.Gone()
+		}
+		records = append(records, r)
+	}
+	return Message{members: records}, true, nil
+}
+
 func decodeDocument(f *fields) (Message, bool, error) {
 	d := &Document{version: f.numbers[1], packed: f.bytes[2]}
 	for i := 0; i+2 < len(f.list); i += 3 {
@@ -148,7 +170,7 @@
 	switch kind {
 	case typeEvent, typeRequest:
 		return 7
-	case typeDocument:
+	case typeDocument, typeMembers:
 		return 3
 	}
 	return 0
--- a/lib/link/exchange.go
+++ b/lib/link/exchange.go
@@ -145,12 +145,10 @@
 		l.hooks.state(l, *m.state)
 	case m.notice != nil:
 		l.hooks.notice(l, *m.notice)
-	case m.turn != nil:
-		l.hooks.turn(l, *m.turn)
-	case m.fetch:
-		l.hooks.fetch(l)
-	case m.busy:
-		l.hooks.busy(l)
+	case m.signal != noSignal:
+		l.hooks.signal(l, m.signal)
+	case m.members != nil:
+		l.hooks.members(m.members)
 	case m.document != nil:
 		l.hooks.document(l, *m.document)
 	}
--- a/lib/link/link.go
+++ b/lib/link/link.go
@@ -13,6 +13,7 @@
 
 	"savorygap.example/lib/place"
 	"savorygap.example/lib/placement"
+	"savorygap.example/lib/registry"
 	"savorygap.example/lib/task"
 )
 
@@ -58,16 +59,15 @@
 	hello    func(l *Link, h Hello)
 	state    func(l *Link, s State)
 	notice   func(l *Link, k Known)
-	turn     func(l *Link, begins bool)
-	fetch    func(l *Link)
-	busy     func(l *Link)
+	signal   func(l *Link, s Signal)
+	members  func(records []registry.Record)
 	document func(l *Link, d Document)
 	closed   func(l *Link, err error)
 }
 
-// NewHooks returns hooks made of eight functions.
-func NewHooks(hello func(*Link, Hello), state func(*Link, State), notice func(*Link, Known), turn func(*Link, bool), fetch, busy func(*Link), document func(*Link, Document), closed func(*Link, error)) Hooks {
-	return Hooks{hello: hello, state: state, notice: notice, turn: turn, fetch: fetch, busy: busy, document: document, closed: closed}
+// NewHooks returns hooks made of seven functions.
+func NewHooks(hello func(*Link, Hello), state func(*Link, State), notice func(*Link, Known), signal func(*Link, Signal), members func([]registry.Record), document func(*Link, Document), closed func(*Link, error)) Hooks {
+	return Hooks{hello: hello, state: state, notice: notice, signal: signal, members: members, document: document, closed: closed}
 }
 
 // SilentError reports a peer of which nothing was heard in time.
@@ -193,15 +193,11 @@
 // SendNotice tells which versions this node knows.
 func (l *Link) SendNotice(k Known) { l.push(Encode(Message{notice: &k})) }
 
-// SendTurn tells that this node begins to wait for changes of the store, or has
-// ended to.
-func (l *Link) SendTurn(begins bool) { l.push(Encode(Message{turn: &begins})) }
+// Send sends a signal.
+func (l *Link) Send(s Signal) { l.push(Encode(Message{signal: s})) }
 
-// SendFetch asks for the peer's configuration.
-func (l *Link) SendFetch() { l.push(Encode(Message{fetch: true})) }
-
-// SendBusy tells a peer that asked for the configuration to ask another node.
-func (l *Link) SendBusy() { l.push(Encode(Message{busy: true})) }
+// SendMembers tells of changes to the entries of nodes.
+func (l *Link) SendMembers(records []registry.Record) { l.push(Encode(Message{members: records})) }
 
 // SendDocument hands over a configuration.
 func (l *Link) SendDocument(d Document) { l.push(Encode(Message{document: &d})) }
--- a/lib/link/link_test.go
+++ b/lib/link/link_test.go
@@ -17,6 +17,7 @@
 	"savorygap.example/lib/link"
 	"savorygap.example/lib/place"
 	"savorygap.example/lib/placement"
+	"savorygap.example/lib/registry"
 )
 
 // end is one end of a link whose server a test plays.
@@ -29,6 +30,8 @@
 	dropped   chan uint64
 	closed    chan error
 	documents chan link.Document
+	signals   chan link.Signal
+	members   chan []registry.Record
 }
 
 type asked struct {
@@ -42,6 +45,7 @@
 	e := &end{
 		asks: make(chan asked, 8), withdrawn: make(chan place.Key, 8), submitted: make(chan *placement.Request, 8),
 		cancelled: make(chan place.Key, 8), dropped: make(chan uint64, 8), closed: make(chan error, 8), documents: make(chan link.Document, 8),
+		signals: make(chan link.Signal, 8), members: make(chan []registry.Record, 8),
 	}
 	server := link.NewServer(
 		func(k place.Key, a placement.Ask, reply func(placement.Event)) { e.asks <- asked{k, a, reply} },
@@ -51,7 +55,7 @@
 		func(serial uint64) { e.dropped <- serial },
 	)
 	hooks := link.NewHooks(func(*link.Link, link.Hello) {}, func(*link.Link, link.State) {}, func(*link.Link, link.Known) {},
-		func(*link.Link, bool) {}, func(*link.Link) {}, func(*link.Link) {}, func(_ *link.Link, d link.Document) { e.documents <- d },
+		func(_ *link.Link, s link.Signal) { e.signals <- s }, func(r []registry.Record) { e.members <- r }, func(_ *link.Link, d link.Document) { e.documents <- d },
 		func(_ *link.Link, err error) { e.closed <- err })
 	e.link = link.New(conn, nil, 1, peer, server, hooks, clockwork.NewRealClock())
 	go e.link.Run(ctx)
@@ -136,7 +140,7 @@
 	must.ErrorContains(t, <-a.closed, "silent")
 }
 
-func TestWithdrawCancelAndDocumentCross(t *testing.T) {
+func TestWithdrawCancelSignalsMembersAndDocumentCross(t *testing.T) {
 	a, b, _ := pair(t)
 	a.link.Port().Withdraw(4)
 	must.Eq(t, uint64(4), (<-b.withdrawn).Number())
@@ -146,6 +150,13 @@
 	d := link.NewDocument(9, text, []link.Evacuation{link.NewEvacuation("north", 8, true), link.NewEvacuation("south", 7, false)})
 	a.link.SendDocument(d)
 	must.Eq(t, d, <-b.documents)
+	for _, s := range []link.Signal{link.TurnBegins, link.TurnEnds, link.Fetch, link.Busy, link.Lapsed} {
+		a.link.Send(s)
+		must.Eq(t, s, <-b.signals)
+	}
+	records := []registry.Record{registry.NewRecord(registry.KindMember, "host-1", []byte("{}")).At(7), registry.NewRecord(registry.KindMember, "host-2", []byte{}).At(8).Gone()}
+	a.link.SendMembers(records)
+	must.Eq(t, records, <-b.members)
 }
 
 func TestPackedConfigurationIsSmallAndUnpacksToItself(t *testing.T) {
--- a/lib/link/message.go
+++ b/lib/link/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"savorygap.example/lib/placement"
+	"savorygap.example/lib/registry"
 )
 
 // Hello is what each end says first.
@@ -139,6 +140,24 @@
 // service.
 func (d Document) Evacuations() []Evacuation { return d.evacuations }
 
+// Signal is a message without a body.
+type Signal uint8
+
+// The signals.
+const (
+	noSignal Signal = iota
+	// TurnBegins tells that the sender begins to wait for changes of the store.
+	TurnBegins
+	// TurnEnds tells that it has ended to.
+	TurnEnds
+	// Fetch asks for the configuration.
+	Fetch
+	// Busy tells who asked for the configuration to ask another node.
+	Busy
+	// Lapsed tells that the store has lost the receiver's entry.
+	Lapsed
+)
+
 // Message is a closed union; exactly one part is set.
 type Message struct {
 	hello    *Hello
@@ -154,9 +173,8 @@
 	pong     bool
 	state    *State
 	notice   *Known
-	turn     *bool
-	fetch    bool
-	busy     bool
+	signal   Signal
+	members  []registry.Record
 	document *Document
 }
 
--- a/lib/registry/follower.go
+++ b/lib/registry/follower.go
@@ -25,10 +25,12 @@
 	turnSpread = 30 * time.Millisecond
 	turnsHeld  = 16 // peers' turns not yet taken in
 	retryMin   = 100 * time.Millisecond
-	retryMax   = 800 * time.Millisecond // entries must be back 2 s after an outage
-	// lostMax is the longest pause while the store is lost; its return is noticed
-	// by the renewal of the lease, which is cheaper.
-	lostMax = 4 * time.Second
+	// lostMax is the longest pause of a node alone while the store is lost.
+	lostMax = 2 * time.Second
+	// lostSpread is the mean time until the first node of the fleet tries a store
+	// that is lost again, and lostMost the longest pause of one of them.
+	lostSpread = 250 * time.Millisecond
+	lostMost   = 10 * time.Second
 )
 
 // Update is what a follower learned: all records, or changes to them.
@@ -130,7 +132,7 @@
 		}
 		f.sound = err == nil
 		if err != nil {
-			f.await(ctx, backoff/2+rand.N(backoff/2))
+			f.await(ctx, max(backoff/2+rand.N(backoff/2), f.lostPause()))
 			backoff = min(2*backoff, lostMax)
 			continue
 		}
@@ -143,6 +145,16 @@
 	}
 }
 
+// lostPause returns how long this node leaves a store alone that turned it away,
+// where other nodes try it too.
+func (f *Follower) lostPause() time.Duration {
+	share := f.share()
+	if share >= 1 {
+		return 0
+	}
+	return min(time.Duration(rand.ExpFloat64()*float64(lostSpread)/share), lostMost)
+}
+
 // spread returns a random time. Over nodes whose shares add up to 1, the shortest
 // is turnSpread on average, and each node's is the shortest as often as its share
 // says.
--- a/lib/registry/registrar.go
+++ b/lib/registry/registrar.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -12,56 +11,65 @@
 )
 
 const (
-	// leaseTTL outlasts a restart and a short outage, so that neither costs
-	// writes: a lapsed entry costs a call at each node that watches.
-	leaseTTL   = 10 * time.Second
-	renewEvery = 2 * time.Second
 	// callTimeout bounds a call that does not wait for changes.
 	callTimeout = time.Second
 	// departureTimeout bounds the write that must end before a leaving server is
 	// answered; a server takes no answer later than a second.
 	departureTimeout = 600 * time.Millisecond
+	// writeAgainMax is the longest pause before a write that failed is repeated:
+	// entries must be back 2 s after an outage.
+	writeAgainMax = 1500 * time.Millisecond
+	registrarSize = 16 // messages
 )
 
-// Registrar is the task that keeps the entry of this node in the store.
+// Registrar is the task that writes to the store what concerns this node: its
+// entry, the server that left beside it, and the end of entries whose nodes are
+// gone. An entry has no lease: it stays until another node finds it gone, so that
+// it costs no renewals and outlives restarts and outages.
 type Registrar struct {
-	store    *Store
-	clock    clockwork.Clock
-	member   Record
-	inbox    *task.Inbox[registrarMessage]
-	lease    Lease
-	written  bool
-	departed map[string]int64
-	pending  map[string]int64
-	health   func(error)
+	store   *Store
+	clock   clockwork.Clock
+	member  Record
+	inbox   *task.Inbox[registrarMessage]
+	pending []Record
+	left    *Record // the departure that was written last
+	backoff time.Duration
+	health  func(error)
 }
 
 // registrarMessage is a closed union; exactly one part is set.
 type registrarMessage struct {
-	adopt     *Record
-	departure string
-	born      int64
+	start     bool
+	found     *Record
+	restore   bool
+	departure *Record
 	reply     task.Reply[error]
+	gone      *Record
 }
 
 // NewRegistrar returns a registrar of the member record of this node. health is
 // called with the result of each call.
 func NewRegistrar(store *Store, clock clockwork.Clock, member Record, health func(error)) *Registrar {
-	return &Registrar{
-		store: store, clock: clock, member: member, inbox: task.NewInbox[registrarMessage](16),
-		departed: map[string]int64{}, pending: map[string]int64{}, health: health,
-	}
+	return &Registrar{store: store, clock: clock, member: member, inbox: task.NewInbox[registrarMessage](registrarSize), backoff: retryMin, health: health}
 }
 
-// Start begins to keep the entry. found is the entry that the store holds from an
-// earlier process of this node, if any: its lease is taken over.
-func (r *Registrar) Start(found *Record) { r.inbox.Send(registrarMessage{adopt: found}) }
+// Start writes the entry, unless the store holds it as found from an earlier
+// process of this node.
+func (r *Registrar) Start(found *Record) { r.inbox.Send(registrarMessage{start: true, found: found}) }
+
+// Restore writes the entry again, since the store has lost it. It never blocks.
+func (r *Registrar) Restore() { r.inbox.TrySend(registrarMessage{restore: true}) }
+
+// Gone removes the entry of a node that is gone, if it is still the same. It never
+// blocks.
+func (r *Registrar) Gone(member Record) { r.inbox.TrySend(registrarMessage{gone: &member}) }
 
-// Depart makes it last that an instance, started at born, leaves. An error means
-// that this is not yet so; the registrar goes on trying.
+// Depart makes it last that the instance beside this node, started at born,
+// leaves. An error means that this is not yet so; the registrar goes on trying.
 func (r *Registrar) Depart(ctx context.Context, instance string, born int64) error {
 	reply := task.NewReply[error]()
-	if !r.inbox.Send(registrarMessage{departure: instance, born: born, reply: reply}) {
+	record := NewDeparture(r.member.name, instance, born)
+	if !r.inbox.Send(registrarMessage{departure: &record, reply: reply}) {
 		return context.Canceled
 	}
 	err, ok := reply.Wait(ctx, r.inbox.Done())
@@ -71,7 +79,7 @@
 	return err
 }
 
-// Run keeps the entry until ctx ends.
+// Run writes until ctx ends.
 func (r *Registrar) Run(ctx context.Context) {
 	defer r.inbox.Close()
 	var due <-chan time.Time
@@ -80,85 +88,67 @@
 		case <-ctx.Done():
 			return
 		case m := <-r.inbox.Messages():
-			if m.departure != "" {
-				m.reply <- r.depart(ctx, m.departure, m.born)
-				continue
-			}
-			if m.adopt != nil && string(m.adopt.value) == string(r.member.value) {
-				r.lease, r.written = m.adopt.lease, true
-			}
-			due = r.clock.After(0)
+			r.handle(ctx, m)
 		case <-due:
-			due = r.clock.After(r.keep(ctx))
+			r.write(ctx, callTimeout)
+		}
+		due = nil
+		if len(r.pending) > 0 {
+			due = r.clock.After(r.backoff/2 + rand.N(r.backoff))
 		}
 	}
 }
 
-// keep renews the lease, or writes the entry under a new one. It returns the
-// pause before the next time.
-func (r *Registrar) keep(ctx context.Context) time.Duration {
-	err := r.tryKeep(ctx)
-	r.health(err)
-	var lapsed *LapsedError
+func (r *Registrar) handle(ctx context.Context, m registrarMessage) {
 	switch {
-	case errors.As(err, &lapsed):
-		r.lease, r.written = 0, false
-		for instance, born := range r.departed {
-			// Departures ended with the lease that they were written under.
-			r.pending[instance] = born
+	case m.start && (m.found == nil || string(m.found.value) != string(r.member.value)):
+		r.add(r.member)
+		r.write(ctx, callTimeout)
+	case m.restore:
+		// It is written after a pause, since many entries may be lost at once.
+		r.add(r.member)
+		if r.left != nil {
+			r.add(*r.left)
 		}
-		clear(r.departed)
-		return rand.N(retryMin)
-	case err != nil:
-		return retryMin + rand.N(retryMax-retryMin)
+	case m.departure != nil:
+		r.left = m.departure
+		r.add(*m.departure)
+		m.reply <- r.write(ctx, departureTimeout)
+	case m.gone != nil:
+		r.remove(ctx, *m.gone)
 	}
-	return renewEvery - rand.N(renewEvery/8)
 }
 
-func (r *Registrar) tryKeep(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	if r.lease == 0 {
-		lease, err := r.store.Grant(ctx, leaseTTL)
-		if err != nil {
-			return err
-		}
-		r.lease = lease
-	} else if err := r.store.Renew(ctx, r.lease); err != nil {
-		return err
-	}
-	if !r.written {
-		if err := r.store.Put(ctx, r.member.Under(r.lease)); err != nil {
-			return err
+// add puts a record among those to write, in place of an older one of its kind.
+func (r *Registrar) add(record Record) {
+	for i, p := range r.pending {
+		if p.kind == record.kind {
+			r.pending[i] = record
+			return
 		}
-		r.written = true
 	}
-	for instance := range r.pending {
-		if err := r.writeDeparture(ctx, instance); err != nil {
+	r.pending = append(r.pending, record)
+}
+
+// write writes what is pending, until a call fails.
+func (r *Registrar) write(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for len(r.pending) > 0 {
+		err := r.store.Put(ctx, r.pending[0])
+		r.health(err)
+		if err != nil {
+			r.backoff = min(2*r.backoff, writeAgainMax)
 			return err
 		}
+		r.pending, r.backoff = r.pending[1:], retryMin
 	}
 	return nil
 }
 
-func (r *Registrar) depart(ctx context.Context, instance string, born int64) error {
-	if written, ok := r.departed[instance]; ok && written >= born {
-		return nil
-	}
-	r.pending[instance] = born
-	if r.lease == 0 {
-		return errors.New("no lease yet to write the departure under")
-	}
-	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
+// remove removes an entry; where that fails, its finder asks again.
+func (r *Registrar) remove(ctx context.Context, member Record) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	return r.writeDeparture(ctx, instance)
-}
-
-func (r *Registrar) writeDeparture(ctx context.Context, instance string) error {
-	if err := r.store.Put(ctx, NewDeparture(instance, r.pending[instance]).Under(r.lease)); err != nil {
-		return err
-	}
-	r.departed[instance] = r.pending[instance]
-	delete(r.pending, instance)
-	return nil
+	r.health(r.store.Remove(ctx, member))
 }
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -7,7 +7,7 @@
 //
 // # Usage
 //
-//	s := registry.NewStore(read, follow, grant, renew, put)
+//	s := registry.NewStore(read, follow, put, remove)
 //	records, version, err := s.Read(ctx)
 package registry
 
@@ -16,6 +16,7 @@
 	"fmt"
 	"math"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -30,7 +31,7 @@
 	KindEvacuation
 	// KindMember is a node that lives, by its name.
 	KindMember
-	// KindDeparture is a server that leaves, by the id of its instance.
+	// KindDeparture is the server that left last beside a node, by the node's name.
 	KindDeparture
 )
 
@@ -39,16 +40,12 @@
 // String returns the name of the kind.
 func (k Kind) String() string { return kindNames[k] }
 
-// Lease names a lease of the store; 0 is none.
-type Lease uint64
-
 // Record is one thing in the store at a version.
 type Record struct {
 	kind    Kind
 	name    string
 	value   []byte
 	version uint64
-	lease   Lease
 	removed bool
 }
 
@@ -57,21 +54,21 @@
 	return Record{kind: kind, name: name, value: value}
 }
 
-// NewDeparture returns the record that an instance leaves which was started at
-// born, in milliseconds of Unix time.
-func NewDeparture(instance string, born int64) Record {
-	return NewRecord(KindDeparture, instance, strconv.AppendInt(nil, born, 10))
+// NewDeparture returns the record that the instance beside a node leaves, which
+// was started at born, in milliseconds of Unix time.
+func NewDeparture(node, instance string, born int64) Record {
+	return NewRecord(KindDeparture, node, []byte(strconv.FormatInt(born, 10)+" "+instance))
 }
 
-// Born returns when the instance of a departure was started, in milliseconds of
-// Unix time.
-func (r Record) Born() int64 {
-	born, err := strconv.ParseInt(string(r.value), 10, 64)
+// Departure returns the instance of a departure, and when it was started, in
+// milliseconds of Unix time. A start that cannot be read holds for any.
+func (r Record) Departure() (instance string, born int64) {
+	text, instance, _ := strings.Cut(string(r.value), " ")
+	born, err := strconv.ParseInt(text, 10, 64)
 	if err != nil {
-		// A departure without a readable start holds for any start of its instance.
-		return math.MaxInt64
+		return instance, math.MaxInt64
 	}
-	return born
+	return instance, born
 }
 
 // At returns the record with the version of the store that wrote it.
@@ -80,12 +77,6 @@
 	return r
 }
 
-// Under returns the record with the lease that it ends with.
-func (r Record) Under(l Lease) Record {
-	r.lease = l
-	return r
-}
-
 // Gone returns the record marked as removed.
 func (r Record) Gone() Record {
 	r.removed = true
@@ -104,9 +95,6 @@
 // Version returns the version of the store that wrote or removed the record.
 func (r Record) Version() uint64 { return r.version }
 
-// Lease returns the lease that the record ends with.
-func (r Record) Lease() Lease { return r.lease }
-
 // Removed reports whether the record was removed.
 func (r Record) Removed() bool { return r.removed }
 
@@ -114,20 +102,18 @@
 type Store struct {
 	read   func(ctx context.Context) ([]Record, uint64, error)
 	follow func(ctx context.Context, after uint64, wait time.Duration) ([]Record, uint64, error)
-	grant  func(ctx context.Context, ttl time.Duration) (Lease, error)
-	renew  func(ctx context.Context, l Lease) error
 	put    func(ctx context.Context, r Record) error
+	remove func(ctx context.Context, r Record) error
 }
 
-// NewStore returns a store made of five functions.
+// NewStore returns a store made of four functions.
 func NewStore(
 	read func(context.Context) ([]Record, uint64, error),
 	follow func(context.Context, uint64, time.Duration) ([]Record, uint64, error),
-	grant func(context.Context, time.Duration) (Lease, error),
-	renew func(context.Context, Lease) error,
 	put func(context.Context, Record) error,
+	remove func(context.Context, Record) error,
 ) *Store {
-	return &Store{read: read, follow: follow, grant: grant, renew: renew, put: put}
+	return &Store{read: read, follow: follow, put: put, remove: remove}
 }
 
 // Read returns all records and the version of the store that they are from.
@@ -140,17 +126,25 @@
 	return s.follow(ctx, after, wait)
 }
 
-// Grant asks for a lease.
-func (s *Store) Grant(ctx context.Context, ttl time.Duration) (Lease, error) {
-	return s.grant(ctx, ttl)
+// Put writes a record, whatever was there before.
+func (s *Store) Put(ctx context.Context, r Record) error { return s.put(ctx, r) }
+
+// Remove removes a record if it still is at its version. It returns *ChangedError
+// when it is not.
+func (s *Store) Remove(ctx context.Context, r Record) error { return s.remove(ctx, r) }
+
+// ChangedError reports a record that has changed since it was read.
+type ChangedError struct {
+	record Record
 }
 
-// Renew extends a lease. It returns *LapsedError when the lease has ended.
-func (s *Store) Renew(ctx context.Context, l Lease) error { return s.renew(ctx, l) }
+// NewChanged returns the error for a record.
+func NewChanged(r Record) *ChangedError { return &ChangedError{record: r} }
 
-// Put writes a record under its lease, whatever was there before. It returns
-// *LapsedError when the lease has ended.
-func (s *Store) Put(ctx context.Context, r Record) error { return s.put(ctx, r) }
+// Error implements error.
+func (e *ChangedError) Error() string {
+	return fmt.Sprintf("the %s record of %q is not at version %d any more", e.record.kind, e.record.name, e.record.version)
+}
 
 // HistoryLostError reports that the changes after a version cannot be had, and
 // that all records have to be read.
@@ -172,17 +166,6 @@
 // Unwrap returns the cause.
 func (e *HistoryLostError) Unwrap() error { return e.cause }
 
-// LapsedError reports a lease that has ended.
-type LapsedError struct {
-	lease Lease
-}
-
-// NewLapsed returns the error for a lease.
-func NewLapsed(l Lease) *LapsedError { return &LapsedError{lease: l} }
-
-// Error implements error.
-func (e *LapsedError) Error() string { return fmt.Sprintf("lease %d has ended", e.lease) }
-
 // UnavailableError reports a call that the store did not serve. It may have
 // taken effect unless the store refused it.
 type UnavailableError struct {
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -16,7 +16,7 @@
 var errRefused = errors.New("refused")
 
 func storeOf(read func(context.Context) ([]registry.Record, uint64, error), follow func(context.Context, uint64, time.Duration) ([]registry.Record, uint64, error)) *registry.Store {
-	return registry.NewStore(read, follow, nil, nil, nil)
+	return registry.NewStore(read, follow, nil, nil)
 }
 
 func whole(context.Context) ([]registry.Record, uint64, error) { return nil, 7, nil }
@@ -105,39 +105,28 @@
 	must.Greater(t, before, calls.Load())
 }
 
-// keeping is a store that knows one lease at a time.
+// keeping is a store that takes what is written to it.
 type keeping struct {
-	lease  atomic.Uint64
-	grants atomic.Int64
-	puts   chan registry.Record
-	down   atomic.Bool
+	puts    chan registry.Record
+	removed chan registry.Record
+	down    atomic.Bool
+}
+
+func newKeeping() *keeping {
+	return &keeping{puts: make(chan registry.Record, 8), removed: make(chan registry.Record, 8)}
 }
 
 func (k *keeping) store() *registry.Store {
-	return registry.NewStore(whole, nil,
-		func(context.Context, time.Duration) (registry.Lease, error) {
-			if k.down.Load() {
-				return 0, errRefused
-			}
-			k.grants.Add(1)
-			return registry.Lease(k.lease.Add(1)), nil
-		},
-		func(_ context.Context, l registry.Lease) error {
-			switch {
-			case k.down.Load():
-				return errRefused
-			case uint64(l) != k.lease.Load():
-				return registry.NewLapsed(l)
-			}
-			return nil
-		},
-		func(_ context.Context, r registry.Record) error {
+	take := func(into chan registry.Record) func(context.Context, registry.Record) error {
+		return func(_ context.Context, r registry.Record) error {
 			if k.down.Load() {
 				return errRefused
 			}
-			k.puts <- r
+			into <- r
 			return nil
-		})
+		}
+	}
+	return registry.NewStore(whole, nil, take(k.puts), take(k.removed))
 }
 
 func registrar(t *testing.T, k *keeping, member registry.Record) *registry.Registrar {
@@ -149,17 +138,18 @@
 	return r
 }
 
-func TestEntryThatLapsedIsBackWithinTwoSeconds(t *testing.T) {
-	k := &keeping{puts: make(chan registry.Record, 8)}
-	member := registry.NewRecord(registry.KindMember, "a", []byte("x"))
-	r := registrar(t, k, member)
+// TestEntryThatTheStoreLostIsBackWithinTwoSeconds loses the entry and the departure
+// while the store is away.
+func TestEntryThatTheStoreLostIsBackWithinTwoSeconds(t *testing.T) {
+	k := newKeeping()
+	r := registrar(t, k, registry.NewRecord(registry.KindMember, "a", []byte("x")))
 	r.Start(nil)
-	must.Eq(t, "a", (<-k.puts).Name())
+	must.Eq(t, registry.KindMember, (<-k.puts).Kind())
 	must.NoError(t, r.Depart(context.Background(), "i-1", 5))
 	must.Eq(t, registry.KindDeparture, (<-k.puts).Kind())
 	k.down.Store(true)
+	r.Restore()
 	time.Sleep(2500 * time.Millisecond)
-	k.lease.Add(1)
 	k.down.Store(false)
 	returned := time.Now()
 	kinds := map[registry.Kind]bool{(<-k.puts).Kind(): true, (<-k.puts).Kind(): true}
@@ -167,20 +157,29 @@
 	must.MapEq(t, map[registry.Kind]bool{registry.KindMember: true, registry.KindDeparture: true}, kinds)
 }
 
-func TestLeaseOfAnEarlierProcessIsTakenOver(t *testing.T) {
-	k := &keeping{puts: make(chan registry.Record, 8)}
-	k.lease.Store(9)
+func TestEntryOfAnEarlierProcessIsKept(t *testing.T) {
+	k := newKeeping()
 	member := registry.NewRecord(registry.KindMember, "a", []byte("x"))
 	r := registrar(t, k, member)
-	found := member.Under(9)
-	r.Start(&found)
+	r.Start(&member)
 	time.Sleep(300 * time.Millisecond)
-	must.Eq(t, int64(0), k.grants.Load())
 	must.Eq(t, 0, len(k.puts))
+	moved := registry.NewRecord(registry.KindMember, "a", []byte("elsewhere"))
+	r.Start(&moved)
+	must.Eq(t, "x", string((<-k.puts).Value()))
+}
+
+func TestEntryOfANodeThatIsGoneIsRemoved(t *testing.T) {
+	k := newKeeping()
+	r := registrar(t, k, registry.NewRecord(registry.KindMember, "a", nil))
+	r.Gone(registry.NewRecord(registry.KindMember, "b", nil).At(7))
+	gone := <-k.removed
+	must.Eq(t, "b", gone.Name())
+	must.Eq(t, uint64(7), gone.Version())
 }
 
 func TestDepartureThatTheStoreRefusesIsWrittenLater(t *testing.T) {
-	k := &keeping{puts: make(chan registry.Record, 8)}
+	k := newKeeping()
 	r := registrar(t, k, registry.NewRecord(registry.KindMember, "a", nil))
 	r.Start(nil)
 	<-k.puts
@@ -188,8 +187,10 @@
 	must.Error(t, r.Depart(context.Background(), "i-1", 5))
 	k.down.Store(false)
 	d := <-k.puts
-	must.Eq(t, "i-1", d.Name())
-	must.Eq(t, int64(5), d.Born())
+	instance, born := d.Departure()
+	must.Eq(t, "a", d.Name())
+	must.Eq(t, "i-1", instance)
+	must.Eq(t, int64(5), born)
 }
 
 // TestNodesTakeTurnsByTheirShares lets two nodes share the turns, one of which
--- a/savorygap-bench/internal/soak/faults.go
+++ b/savorygap-bench/internal/soak/faults.go
@@ -64,7 +64,7 @@
 		{name: "store is down", store: true, run: storeDown},
 		{name: "store loses answers", store: true, run: storeLoses},
 		{name: "store forgets its history", store: true, run: storeForgets},
-		{name: "leases end", store: true, run: leasesEnd},
+		{name: "store loses the nodes' entries", store: true, run: storeLosesEntries},
 		{name: "configuration changes meanwhile", planned: true, store: true, run: configure},
 	}
 }
@@ -209,8 +209,8 @@
 	s.Store().Forget()
 }
 
-func leasesEnd(_ context.Context, s *site.Site, _ *notes, _ *site.Host, _ time.Duration) {
-	s.Store().EndLeases()
+func storeLosesEntries(_ context.Context, s *site.Site, _ *notes, _ *site.Host, _ time.Duration) {
+	s.Store().Lose("savorygap/")
 }
 
 // length draws how long a work lasts.
--- a/savorygap-node/internal/links/links.go
+++ b/savorygap-node/internal/links/links.go
@@ -41,11 +41,15 @@
 		p.Router().SetNodes,
 		func(departures []registry.Record) {
 			for _, d := range departures {
-				k.Departed(d.Name(), d.Born())
+				if d.Name() == t.Host() {
+					k.Departed(d.Departure())
+				}
 			}
 		},
 		p.Registrar().Start,
 		p.Follower().Heard,
+		p.Registrar().Restore,
+		p.Registrar().Gone,
 	)
 	self := fleet.NewMember(t.Host(), t.AdvertisedAddress(), t.DataCentre(), t.Service()).WithSpeed(t.LinkSpeed())
 	server := link.NewServer(k.Ask, k.Withdraw, k.Submit, k.Cancel, k.Drop)
--- a/savorygap-node/internal/pipeline/node_test.go
+++ b/savorygap-node/internal/pipeline/node_test.go
@@ -249,7 +249,7 @@
 	s := newSite(t)
 	a, b := s.add(t, "till", 0), s.add(t, "shop", 0)
 	b.announce(t, "draining")
-	must.Eq(t, []string{"savorygap/departure/i-host-2"}, s.store.Keys("savorygap/departure/"))
+	must.Eq(t, []string{"savorygap/departure/host-2"}, s.store.Keys("savorygap/departure/"))
 	r := a.must(t, http.MethodGet, "/read/1", "id-1", "")
 	must.Eq(t, http.StatusServiceUnavailable, r.status)
 	must.NotEq(t, "", r.header.Get("Retry-After"))
@@ -275,7 +275,7 @@
 	b.start(t)
 	s.awaitOpen(t, b, "shop", true)
 	must.Eq(t, http.StatusOK, a.must(t, http.MethodGet, "/read/1", "id-1", "").status)
-	must.Eq(t, 2, s.store.Calls("lease"))
+	must.Eq(t, 2, s.store.Calls("txn"))
 }
 
 func TestEvacuatedDataCentreGetsNothingUntilItIsBack(t *testing.T) {
@@ -377,7 +377,7 @@
 	s := newSite(t)
 	a, b := s.add(t, "till", 0), s.add(t, "shop", 0)
 	s.store.SetDown(true)
-	s.store.EndLeases()
+	s.store.Lose("savorygap/member/")
 	must.Eq(t, 0, len(s.store.Keys("savorygap/member/")))
 	must.Eq(t, http.StatusOK, a.must(t, http.MethodGet, "/read/1", "id-1", "").status)
 	b.announce(t, "ready")
--- a/savorygap-node/internal/storage/storage.go
+++ b/savorygap-node/internal/storage/storage.go
@@ -18,10 +18,10 @@
 
 const (
 	dialTimeout = 500 * time.Millisecond
-	// idleTimeout is how long a connection to the store is kept; renewals come
-	// every two seconds.
+	// idleTimeout is how long a connection to the store is kept between two turns
+	// of a small fleet.
 	idleTimeout = 10 * time.Second
-	maxIdle     = 2 // connections: one watches, one renews
+	maxIdle     = 2 // connections: one watches, one writes
 	buffer      = 4 << 10
 )
 
@@ -47,7 +47,7 @@
 	health := &health{process: p}
 	follower := registry.NewFollower(store, p.Clock(), func() float64 { return p.Fleet().Share() }, func(begins bool) { p.Fleet().Turn(begins) },
 		func(u registry.Update) { p.Fleet().Learn(u) }, health.followed)
-	registrar := registry.NewRegistrar(store, p.Clock(), member, health.renewed)
+	registrar := registry.NewRegistrar(store, p.Clock(), member, health.wrote)
 	p.SetStore(store, registrar, follower)
 	return nil
 }
@@ -74,13 +74,18 @@
 	h.note("watch", err)
 }
 
-// renewed kicks the watch when the store is back, since a watch that was waiting
+// wrote kicks the watch when the store is back, since a watch that was waiting
 // may never hear again.
-func (h *health) renewed(err error) {
+func (h *health) wrote(err error) {
+	var changed *registry.ChangedError
+	if errors.As(err, &changed) {
+		h.process.Log().Write("member-removal-refused", "error", err.Error())
+		return
+	}
 	if err != nil {
 		h.process.Follower().Lost()
 	}
-	if h.note("renew", err) {
+	if h.note("write", err) {
 		h.process.Follower().Kick()
 	}
 }
