fix(dispatch): keep the shared bound on further attempts with many nodes

Each of 90 nodes had saved up tokens for 40 requests, and calls that repeated log-reads make to findings count too (1.4 each). 0.4 of the bound, what was saved, and those calls add up to 24.2 for 22.5 a node.

Change: tokens are saved for 5 requests, and nodes use 0.35 of the bound.

Test: TestFurtherAttemptsOfManyNodesKeepTheSharedBound, 24.2 of 22.47 before, holds after.

--- a/lib/dispatch/budget.go
+++ b/lib/dispatch/budget.go
@@ -9,7 +9,7 @@
 	// budgetCaution is the part of the permitted further attempts that nodes use:
 	// calls made by a repeated request count as repeats too, and no node knows
 	// exactly how many share the budget.
-	budgetCaution = 0.4
+	budgetCaution = 0.35
 )
 
 // Terms are the operators' bounds on further attempts, over all nodes.
@@ -49,7 +49,7 @@
 }
 
 // burstRequests is for how many requests the earned tokens are saved up.
-const burstRequests = 40
+const burstRequests = 5
 
 // spend takes one token if it is there.
 func (b *budget) spend() bool {
--- a/lib/dispatch/dispatch_test.go
+++ b/lib/dispatch/dispatch_test.go
@@ -84,12 +84,16 @@
 
 // newRouter returns a router that knows the seats as servers of its peers.
 func newRouter(t *testing.T, seats ...*seat) *dispatch.Router {
+	t.Helper()
+	return newRouterWith(t, clockwork.NewRealClock(), dispatch.NewTerms(0.2, 50, 10*time.Second), seats...)
+}
+
+func newRouterWith(t *testing.T, clock clockwork.Clock, terms dispatch.Terms, seats ...*seat) *dispatch.Router {
 	t.Helper()
 	charts, err := chart.Embedded()
 	must.NoError(t, err)
-	clock := clockwork.NewRealClock()
 	observe := dispatch.NewObserver(func(string, string, time.Duration) {}, func(string) {})
-	config := dispatch.NewConfig("self", "none", "north", dispatch.NewTerms(0.2, 50, 10*time.Second))
+	config := dispatch.NewConfig("self", "none", "north", terms)
 	r, err := dispatch.NewRouter(config, charts, clock, eventlog.New(io.Discard, clock, "self"), observe)
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -112,8 +116,10 @@
 	return r
 }
 
-func call(path, id string) dispatch.Call {
-	return dispatch.NewCall(placement.NewRequest(id, http.MethodGet, path, "farm", http.Header{}, nil), path, time.Now(), time.Second)
+func call(path, id string) dispatch.Call { return callAt(time.Now(), path, id) }
+
+func callAt(received time.Time, path, id string) dispatch.Call {
+	return dispatch.NewCall(placement.NewRequest(id, http.MethodGet, path, "farm", http.Header{}, nil), path, received, time.Second)
 }
 
 func TestCheapestOfferIsTakenAndTheOthersAreGivenBack(t *testing.T) {
@@ -242,6 +248,40 @@
 	must.LessEq(t, 50+200/5, len(a.submits)+len(b.submits)-200)
 }
 
+// TestFurtherAttemptsOfManyNodesKeepTheSharedBound plays one of 90 nodes whose
+// servers, after a calm time, all fail, and counts what the fleet may send: the
+// further attempts at one service, and the calls that repeated requests of another
+// one make to it, 1.4 each.
+func TestFurtherAttemptsOfManyNodesKeepTheSharedBound(t *testing.T) {
+	const (
+		nodes        = 90
+		least        = 222.0 // further attempts in a window, over all nodes
+		called       = 1.4
+		requests     = 100 // a node's requests for the service in a window
+		callers      = 48  // and for the one that calls it
+		windowLength = 10 * time.Second
+	)
+	further := func(count int) float64 {
+		a, b := newSeat("a", "shop", 1), newSeat("b", "shop", 2)
+		a.end, b.end = answered(http.StatusOK), answered(http.StatusOK)
+		clock := clockwork.NewFakeClock()
+		r := newRouterWith(t, clock, dispatch.NewTerms(0.2, least, windowLength), a, b)
+		r.SetNodes(nodes)
+		for n := range count {
+			r.Serve(context.Background(), callAt(clock.Now(), "/read/1", fmt.Sprint("calm-", n)))
+		}
+		before := len(a.submits) + len(b.submits)
+		a.end, b.end = ended(placement.NotRun), ended(placement.NotRun)
+		for n := range count {
+			clock.Advance(windowLength / time.Duration(count))
+			r.Serve(context.Background(), callAt(clock.Now(), "/read/1", fmt.Sprint(n)))
+		}
+		return float64(len(a.submits) + len(b.submits) - before - count)
+	}
+	own, calls := further(requests), called*further(callers)
+	must.LessEq(t, 0.2*requests+least/nodes, own+calls)
+}
+
 func TestNodeWithoutConfigurationAsksToComeBack(t *testing.T) {
 	charts, err := chart.Embedded()
 	must.NoError(t, err)
