fix(keeper): keep connections to a server within what it accepts

Cause: the limit of connections was not counted; only the places and 32 idle connections bound them. A server with 10 slots that accepts 4 connections had 8 open at once; it resets those beyond, which leaves the outcome of an order unknown.

Change: places are bound by the limit less one connection for health checks; a connection is kept idle only while another one fits, and the longest idle one is closed before one too many is opened.

--- a/lib/keeper/keeper.go
+++ b/lib/keeper/keeper.go
@@ -169,7 +169,7 @@
 // reset forgets what was known of the instance before.
 func (k *Keeper) reset() {
 	k.deny()
-	k.book = place.NewBook(max(k.latest.slots, 1))
+	k.book = place.NewBook(k.places())
 	k.closeIdle()
 	k.probes.forget()
 }
--- a/lib/keeper/server.go
+++ b/lib/keeper/server.go
@@ -29,7 +29,7 @@
 		k.latest = a
 	}
 	k.heard = true
-	k.book.SetSlots(a.slots)
+	k.book.SetSlots(k.places())
 	if a.coldLeft > 0 {
 		k.setCold(a.coldLeft)
 	}
@@ -82,6 +82,7 @@
 func (k *Keeper) handleSituation(s Situation) {
 	k.situation = s
 	k.service, _ = k.serviceNamed(k.latest.service)
+	k.book.SetSlots(k.places())
 	event := eventIn
 	if s.evacuated {
 		event = eventOut
--- a/lib/keeper/work.go
+++ b/lib/keeper/work.go
@@ -19,6 +19,8 @@
 	// maxIdle bounds the idle connections kept to a server; each costs the node
 	// a buffer of 4 KB.
 	maxIdle = 32
+	// checkerConnections is how many connections the health checks take.
+	checkerConnections = 1
 	// minRetryAfter is the shortest time after which a refused caller is asked to
 	// come back.
 	minRetryAfter = 40 * time.Millisecond
@@ -120,6 +122,9 @@
 	k.running.Add(1)
 	k.runs[m.key] = &run{request: m.request, cancel: cancel, started: now, pace: k.book.Slowness()}
 	conn := k.takeIdle(now, m.request)
+	if conn == nil {
+		k.makeRoom()
+	}
 	go k.exchange(runCtx, m.key, conn, m.request, k.instance, k.latest.address)
 }
 
@@ -143,6 +148,33 @@
 	return nil
 }
 
+// places returns how many requests the server may hold: its slots, within the
+// connections that it accepts.
+func (k *Keeper) places() int {
+	slots := max(k.latest.slots, 1)
+	if most := k.service.MaxConnections(); most > 0 {
+		slots = min(slots, max(most-checkerConnections, 1))
+	}
+	return slots
+}
+
+// hasRoom reports whether the server accepts one more connection beside those that
+// are in use, idle or for health checks.
+func (k *Keeper) hasRoom() bool {
+	most := k.service.MaxConnections()
+	return most == 0 || len(k.runs)+len(k.idle)+checkerConnections < most
+}
+
+// makeRoom closes the connection that was idle for longest, where a new one would
+// be too many. The request that needs it is among the runs already.
+func (k *Keeper) makeRoom() {
+	most := k.service.MaxConnections()
+	if most > 0 && len(k.idle) > 0 && len(k.runs)+len(k.idle)+checkerConnections > most {
+		k.idle[0].Close()
+		k.idle = k.idle[1:]
+	}
+}
+
 // exchange sends one request to the server and reports how it ended. It runs on
 // its own goroutine, which owns the connection meanwhile.
 func (k *Keeper) exchange(ctx context.Context, key place.Key, conn *hop.Conn, r *placement.Request, instance, address string) {
@@ -189,7 +221,7 @@
 func (k *Keeper) keep(c *hop.Conn) {
 	switch {
 	case c == nil:
-	case len(k.idle) >= maxIdle || !k.admits():
+	case len(k.idle) >= maxIdle || !k.admits() || !k.hasRoom():
 		c.Close()
 	default:
 		k.idle = append(k.idle, c)
--- a/savorygap-node/internal/pipeline/node_test.go
+++ b/savorygap-node/internal/pipeline/node_test.go
@@ -1,6 +1,7 @@
 package pipeline_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -387,6 +388,38 @@
 	must.Eq(t, http.StatusOK, a.must(t, http.MethodGet, "/read/1", "id-2", "").status)
 }
 
+// TestServerGetsNoMoreConnectionsThanItAccepts sends more requests at once than a
+// server with many slots accepts connections, reads and orders by turns.
+func TestServerGetsNoMoreConnectionsThanItAccepts(t *testing.T) {
+	const accepted = 4
+	s := newSite(t)
+	s.store.Write("op/config", bytes.ReplaceAll(configuration(2, ""), []byte(`"MaxConnections":50`), fmt.Appendf(nil, `"MaxConnections":%d`, accepted)))
+	a, b := s.add(t, "till", 0), s.add(t, "shop", 30*time.Millisecond)
+	statuses := make(chan int, 60)
+	for n := range cap(statuses) {
+		method, path := http.MethodGet, "/read/1"
+		if n%3 == 0 {
+			method, path = http.MethodPost, "/order/1"
+		}
+		go func() {
+			r, err := a.send(context.Background(), method, path, fmt.Sprint("id-", n), "")
+			if err != nil {
+				r.status = 0
+			}
+			statuses <- r.status
+		}()
+		time.Sleep(4 * time.Millisecond)
+	}
+	served := 0
+	for range cap(statuses) {
+		if <-statuses == http.StatusOK {
+			served++
+		}
+	}
+	must.Greater(t, 10, served)
+	must.LessEq(t, accepted, b.server.MostConnections())
+}
+
 // TestDepartureLastsThoughAnswersOfTheStoreAreLost restarts a node whose server
 // said that it leaves while the store lost the answers to all writes.
 func TestDepartureLastsThoughAnswersOfTheStoreAreLost(t *testing.T) {
