perf(link): hold no write buffer while a link is idle

Change: the writer sends a queued frame as it is and appends others only while they wait; read buffers of 2 KB; 64 frames and 16 messages queued.

--- a/lib/link/exchange.go
+++ b/lib/link/exchange.go
@@ -87,27 +87,25 @@
 	}
 }
 
-// write writes queued frames, several at once where several wait.
+// write writes queued frames, several at once where several wait. A link holds no
+// buffer for them while it is idle: a node has many.
 func (l *Link) write(ctx context.Context) {
-	batch := make([]byte, 0, readBuffer)
 	for {
+		var frame []byte
 		select {
 		case <-ctx.Done():
 			return
-		case frame := <-l.out:
-			batch = l.gather(append(batch[:0], frame...))
+		case frame = <-l.out:
 		}
-		if _, err := l.conn.Write(batch); err != nil {
+		if _, err := l.conn.Write(l.gather(frame)); err != nil {
 			l.inbox.Send(command{failed: err})
 			return
 		}
-		if cap(batch) > writeBatch {
-			batch = make([]byte, 0, readBuffer)
-		}
 	}
 }
 
-// gather appends the frames that wait, up to the size of a batch.
+// gather appends the frames that wait to the first one, up to the size of a batch.
+// A frame belongs to the link once it is queued.
 func (l *Link) gather(batch []byte) []byte {
 	for len(batch) < writeBatch {
 		select {
--- a/lib/link/link.go
+++ b/lib/link/link.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	inboxSize   = 64
-	outSize     = 128     // frames
-	readBuffer  = 4 << 10 // bytes
+	inboxSize   = 16
+	outSize     = 64      // frames
+	readBuffer  = 2 << 10 // bytes: a request without a body and its fields
 	writeBatch  = 16 << 10
 	tickEvery   = 100 * time.Millisecond
 	pingBusy    = 250 * time.Millisecond // without a sign of life while something is pending
