fix(registry): go on with a turn that brought a configuration

The store takes 1.6 s to acknowledge such a version and a turn as long to read it, and the pause between two turns comes on top of both.

Change: a turn that brought a configuration goes on at once; one that brought members ends, since entries come by the dozen at a start.

Test: TestTurnThatBroughtAConfigurationGoesOn, which fails without the change.

--- a/lib/registry/follower.go
+++ b/lib/registry/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -137,14 +138,24 @@
 			continue
 		}
 		backoff = retryMin
-		if !whole || len(records) > 0 {
-			f.update(Update{records: records, version: next, whole: !whole})
+		first := !whole
+		if first || len(records) > 0 {
+			f.update(Update{records: records, version: next, whole: first})
 		}
 		version, whole = max(version, next), true
+		if !first && holdsConfiguration(records) {
+			// Changes of the configuration come in series, and reading a large one takes
+			// long: the next one is not made to wait for another turn.
+			continue
+		}
 		f.await(ctx, followPause+f.spread())
 	}
 }
 
+func holdsConfiguration(records []Record) bool {
+	return slices.ContainsFunc(records, func(r Record) bool { return r.kind == KindConfiguration })
+}
+
 // lostPause returns how long this node leaves a store alone that turned it away,
 // where other nodes try it too.
 func (f *Follower) lostPause() time.Duration {
--- a/lib/registry/registrar.go
+++ b/lib/registry/registrar.go
@@ -90,7 +90,7 @@
 		case m := <-r.inbox.Messages():
 			r.handle(ctx, m)
 		case <-due:
-			r.write(ctx, callTimeout)
+			_ = r.write(ctx, callTimeout) // health was told; it is repeated
 		}
 		due = nil
 		if len(r.pending) > 0 {
@@ -103,7 +103,7 @@
 	switch {
 	case m.start && (m.found == nil || string(m.found.value) != string(r.member.value)):
 		r.add(r.member)
-		r.write(ctx, callTimeout)
+		_ = r.write(ctx, callTimeout) // health was told; it is repeated
 	case m.restore:
 		// It is written after a pause, since many entries may be lost at once.
 		r.add(r.member)
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -193,6 +193,28 @@
 	must.Eq(t, int64(5), born)
 }
 
+// TestTurnThatBroughtAConfigurationGoesOn has a node of many whose turn brings one
+// change after the other.
+func TestTurnThatBroughtAConfigurationGoesOn(t *testing.T) {
+	const changes = 5
+	brought := make(chan time.Time, changes)
+	follow := func(ctx context.Context, after uint64, _ time.Duration) ([]registry.Record, uint64, error) {
+		if len(brought) == changes {
+			<-ctx.Done()
+			return nil, after, ctx.Err()
+		}
+		brought <- time.Now()
+		return []registry.Record{registry.NewRecord(registry.KindConfiguration, "", nil).At(after + 1)}, after + 1, nil
+	}
+	f := registry.NewFollower(storeOf(whole, follow), clockwork.NewRealClock(), func() float64 { return 0.2 }, func(bool) {}, func(registry.Update) {}, func(error) {})
+	start(t, f)
+	first := <-brought
+	for len(brought) < changes-1 {
+		time.Sleep(time.Millisecond)
+		must.Less(t, 200*time.Millisecond, time.Since(first))
+	}
+}
+
 // TestNodesTakeTurnsByTheirShares lets two nodes share the turns, one of which
 // should take nearly all.
 func TestNodesTakeTurnsByTheirShares(t *testing.T) {
--- a/savorygap-bench/internal/site/host.go
+++ b/savorygap-bench/internal/site/host.go
@@ -171,14 +171,7 @@
 }
 
 // Ready reports whether the node says that it is ready.
-func (h *Host) Ready() bool {
-	response, err := h.site.http.Get("http://" + h.at(portReady) + "/v1/ready")
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
+func (h *Host) Ready() bool { return standin.Ready(h.site.ctx, h.site.http, h.at(portReady)) }
 
 // StartServer starts a new incarnation of the server, which is cold at first. It
 // is called by one goroutine at a time.
--- a/savorygap-bench/internal/soak/callers.go
+++ b/savorygap-bench/internal/soak/callers.go
@@ -15,6 +15,8 @@
 	"github.com/google/uuid"
 
 	"savorygap.example/lib/task"
+	"savorygap.example/platform"
+	"savorygap.example/platform/standin"
 	"savorygap.example/savorygap-bench/internal/site"
 )
 
@@ -23,7 +25,6 @@
 	patience  = 1500 * time.Millisecond
 	archive   = 40 << 10 // bytes
 	probeRest = 200 * time.Millisecond
-	sealName  = "Savorygap-Server-Seal"
 )
 
 // flow is one kind of request.
@@ -134,7 +135,7 @@
 	for sending.Err() == nil {
 		time.Sleep(probeRest)
 		v := version()
-		s := send(client, h, f, site.Marker(v)+"/x", patience)
+		s := send(client, h, f, standin.Marker(v)+"/x", patience)
 		s.version = v
 		c.note(s)
 	}
@@ -168,9 +169,10 @@
 	if err != nil {
 		return s
 	}
-	request.Host = site.Domain
-	request.Header.Set("Savorygap-Attempt-Id", s.id)
-	request.Header.Set("Savorygap-Deadline-Ms", strconv.FormatInt(patience.Milliseconds(), 10))
+	request.Host = standin.Domain
+	names := platform.Names()
+	request.Header.Set(names.Attempt(), s.id)
+	request.Header.Set(names.TimeLeft(), strconv.FormatInt(patience.Milliseconds(), 10))
 	response, err := client.Do(request)
 	s.ended = time.Now()
 	if err != nil {
@@ -180,7 +182,7 @@
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
 	s.ended = time.Now()
-	s.status, s.sealed = response.StatusCode, response.Header.Get(sealName) != ""
+	s.status, s.sealed = response.StatusCode, response.Header.Get(names.Seal()) != ""
 	s.whole = err == nil && (response.StatusCode >= http.StatusMultipleChoices || isWhole(text, s, body))
 	return s
 }
