--- a/savorygap-bench/internal/site/site.go
+++ b/savorygap-bench/internal/site/site.go
@@ -30,9 +30,10 @@
 const (
 	stopTimeout = 10 * time.Second
 	readyPoll   = 50 * time.Millisecond
-	// Slots and Work shape the servers: places, and the time that a request takes.
+	// Slots is how many requests a server runs at once.
 	Slots = 10
-	Work  = 15 * time.Millisecond
+	// Work is the time that a request takes.
+	Work = 15 * time.Millisecond
 	// ColdRate is how many requests a second a cold server bears.
 	ColdRate = 18
 	// ColdFor is how long a server stays cold after its start.
--- a/savorygap-bench/internal/soak/check.go
+++ b/savorygap-bench/internal/soak/check.go
@@ -56,7 +56,7 @@
 	for _, s := range samples {
 		ran := len(runs[s.id])
 		switch {
-		case s.status != 0 && s.status < http.StatusMultipleChoices && !(s.whole && s.sealed):
+		case s.status != 0 && s.status < http.StatusMultipleChoices && (!s.whole || !s.sealed):
 			add(s, "MIXED", "success that is not the server's whole answer")
 		case !s.flow.idempotent && ran > 1:
 			add(s, "TWICE", "runs more than once")
