perf(fleet): tell members only to peers that may not know of them

Most of it is needless: a node that read the store when the peer's entry was there dials the peer itself.

Change: an entry says which version of the store its node had read; a turn tells a new member to the peers whose entries are newer than that. The fleet hands out the entry, since it knows the version, and whether the store holds it already.

Tests: TestMembersThatKnowAPeerAreNotToldToIt, TestEntryOfAnEarlierProcessIsKeptUnlessTheNodeMoved.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -75,7 +75,7 @@
 	peers      func([]Peer)
 	nodes      func(count int)
 	departures func([]registry.Record)
-	entry      func(*registry.Record)
+	entry      func(record registry.Record, kept bool)
 	turn       func(peer string, begins bool)
 	lapsed     func()
 	gone       func(registry.Record)
@@ -83,9 +83,9 @@
 
 // NewHooks returns hooks. decode reads the operators' text; the others are told
 // of news: the situation, the peers, the number of nodes, the servers that leave,
-// this node's own entry in the store, a peer's turn at watching the store, that the
+// this node's own entry and whether the store holds it already, a peer's turn at watching the store, that the
 // store has lost this node's entry, and that the node of an entry is gone.
-func NewHooks(decode func([]byte) (*catalogue.Catalogue, error), situation func(Situation), peers func([]Peer), nodes func(int), departures func([]registry.Record), entry func(*registry.Record), turn func(peer string, begins bool), lapsed func(), gone func(registry.Record)) Hooks {
+func NewHooks(decode func([]byte) (*catalogue.Catalogue, error), situation func(Situation), peers func([]Peer), nodes func(int), departures func([]registry.Record), entry func(record registry.Record, kept bool), turn func(peer string, begins bool), lapsed func(), gone func(registry.Record)) Hooks {
 	return Hooks{decode: decode, situation: situation, peers: peers, nodes: nodes, departures: departures, entry: entry, turn: turn, lapsed: lapsed, gone: gone}
 }
 
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -30,12 +30,18 @@
 	situations chan fleet.Situation
 	peers      chan []fleet.Peer
 	turns      chan bool
-	entries    chan *registry.Record
+	entries    chan entry
 	lapsed     chan struct{}
 	gone       chan registry.Record
 	stop       context.CancelFunc
 }
 
+// entry is what a fleet hands out as its node's entry.
+type entry struct {
+	record registry.Record
+	kept   bool
+}
+
 func newNode(t *testing.T, name string) *node { return newNodeAt(t, name, 0) }
 
 // newNodeAt returns a node whose host sends speed bytes a second.
@@ -52,13 +58,13 @@
 	must.NoError(t, err)
 	n := &node{
 		address: listener.Addr().String(), situations: make(chan fleet.Situation, 64), peers: make(chan []fleet.Peer, 64),
-		turns: make(chan bool, 64), entries: make(chan *registry.Record, 4), lapsed: make(chan struct{}, 16), gone: make(chan registry.Record, 16),
+		turns: make(chan bool, 64), entries: make(chan entry, 4), lapsed: make(chan struct{}, 16), gone: make(chan registry.Record, 16),
 	}
 	decode := func(text []byte) (*catalogue.Catalogue, error) {
 		return catalogue.New(uint64(len(text)), nil, nil, catalogue.DefaultLimits()), nil
 	}
 	hooks := fleet.NewHooks(decode, func(s fleet.Situation) { n.situations <- s }, func(p []fleet.Peer) { n.peers <- p },
-		func(int) {}, func([]registry.Record) {}, func(r *registry.Record) { n.entries <- r }, func(_ string, begins bool) { n.turns <- begins },
+		func(int) {}, func([]registry.Record) {}, func(r registry.Record, kept bool) { n.entries <- entry{r, kept} }, func(_ string, begins bool) { n.turns <- begins },
 		func() { n.lapsed <- struct{}{} }, func(r registry.Record) { n.gone <- r })
 	server := link.NewServer(func(place.Key, placement.Ask, func(placement.Event)) {}, func(place.Key) {},
 		func(place.Key, *placement.Request) {}, func(place.Key) {}, func(uint64) {})
@@ -235,11 +241,21 @@
 	a.awaitPeers(t, func(count int) bool { return count == 0 })
 }
 
-func TestEntryOfAnEarlierProcessIsHandedOver(t *testing.T) {
+func TestEntryOfAnEarlierProcessIsKeptUnlessTheNodeMoved(t *testing.T) {
 	a := newNode(t, "a")
 	a.fleet.Learn(registry.NewUpdate([]registry.Record{a.member.At(3)}, 5, true))
 	own := <-a.entries
-	must.Eq(t, uint64(3), own.Version())
+	must.True(t, own.kept)
+	must.Eq(t, uint64(3), own.record.Version())
+	b := newNode(t, "b")
+	moved, err := fleet.EncodeMember(fleet.NewMember("b", "127.0.0.1:1", "north", "shop"))
+	must.NoError(t, err)
+	b.fleet.Learn(registry.NewUpdate([]registry.Record{moved.At(3)}, 5, true))
+	own = <-b.entries
+	must.False(t, own.kept)
+	written, err := fleet.DecodeMember(own.record)
+	must.NoError(t, err)
+	must.Eq(t, fleet.NewMember("b", b.address, "north", "shop").WithRead(5), written)
 }
 
 // TestNodeIsToldThatTheStoreLostItsEntry lets one node see that the entries of both
@@ -266,6 +282,22 @@
 	b.awaitPeers(t, func(count int) bool { return count == 2 })
 }
 
+// TestMembersThatKnowAPeerAreNotToldToIt lets a turn bring the entry of a node that
+// read the store when the peer's entry was there: it dials that peer itself.
+func TestMembersThatKnowAPeerAreNotToldToIt(t *testing.T) {
+	a, b, c := newNode(t, "a"), newNode(t, "b"), newNode(t, "c")
+	start := []registry.Record{configuration(5, "x"), a.member.At(1), b.member.At(2)}
+	a.fleet.Learn(registry.NewUpdate(start, 5, true))
+	b.fleet.Learn(registry.NewUpdate(start, 5, true))
+	a.awaitPeers(t, func(count int) bool { return count > 0 })
+	late, err := fleet.EncodeMember(fleet.NewMember("c", c.address, "north", "shop").WithRead(5))
+	must.NoError(t, err)
+	a.fleet.Learn(registry.NewUpdate([]registry.Record{late.At(6)}, 6, false))
+	a.awaitPeers(t, func(count int) bool { return count == 2 })
+	time.Sleep(300 * time.Millisecond)
+	must.Eq(t, 2, b.fleet.Dump(context.Background()).Members())
+}
+
 // TestEntryOfANodeOutOfReachIsRemovedAfterLong has a member listed at an address
 // where nobody listens.
 func TestEntryOfANodeOutOfReachIsRemovedAfterLong(t *testing.T) {
--- a/lib/fleet/form.go
+++ b/lib/fleet/form.go
@@ -12,11 +12,12 @@
 	Address    string `json:"address"`
 	DataCentre string `json:"dataCentre"`
 	Service    string `json:"service"`
+	Read       uint64 `json:"read"`
 }
 
 // EncodeMember returns the record of a member.
 func EncodeMember(m Member) (registry.Record, error) {
-	text, err := json.Marshal(memberForm{Address: m.address, DataCentre: m.dataCentre, Service: m.service})
+	text, err := json.Marshal(memberForm{Address: m.address, DataCentre: m.dataCentre, Service: m.service, Read: m.read})
 	if err != nil {
 		return registry.Record{}, fmt.Errorf("encode the entry of node %q: %w", m.node, err)
 	}
@@ -32,5 +33,5 @@
 	if form.Address == "" || form.Service == "" {
 		return Member{}, fmt.Errorf("entry of node %q names no address or no service", r.Name())
 	}
-	return NewMember(r.Name(), form.Address, form.DataCentre, form.Service), nil
+	return NewMember(r.Name(), form.Address, form.DataCentre, form.Service).WithRead(form.Read), nil
 }
--- a/lib/fleet/member.go
+++ b/lib/fleet/member.go
@@ -15,6 +15,7 @@
 	dataCentre string
 	service    string
 	speed      float64
+	read       uint64
 	version    uint64
 }
 
@@ -30,6 +31,18 @@
 	return m
 }
 
+// WithRead returns the member with the version of the store that its node read
+// before it wrote its entry: it knows the entries up to that version.
+func (m Member) WithRead(version uint64) Member {
+	m.read = version
+	return m
+}
+
+// isAt reports whether an entry of the same node says the same of it.
+func (m Member) isAt(other Member) bool {
+	return m.address == other.address && m.dataCentre == other.dataCentre && m.service == other.service
+}
+
 // Node returns the name of the node.
 func (m Member) Node() string { return m.node }
 
--- a/lib/fleet/situation.go
+++ b/lib/fleet/situation.go
@@ -74,7 +74,7 @@
 	}
 	if !f.started && u.Whole() {
 		f.started = true
-		f.hooks.entry(own)
+		f.beginEntry(u.Version(), own)
 	}
 	f.hooks.nodes(len(f.members))
 	f.tick(ctx)
@@ -113,14 +113,46 @@
 	f.members[m.node] = m
 }
 
-// tellMembers passes on what a turn at the store brought: the peers' own turns come
-// much later.
+// beginEntry hands out the entry of this node, which read the store at a version. One
+// that an earlier process wrote is kept.
+func (f *Fleet) beginEntry(version uint64, found *registry.Record) {
+	if found != nil {
+		if m, err := DecodeMember(*found); err == nil && m.isAt(f.self) {
+			f.hooks.entry(*found, true)
+			return
+		}
+	}
+	record, err := EncodeMember(f.self.WithRead(version))
+	if err != nil {
+		f.log.Write("member-unwritable", "node", f.self.node, "error", err.Error())
+		return
+	}
+	f.hooks.entry(record, false)
+}
+
+// tellMembers passes on what a turn at the store brought to the peers that may not
+// know it: their own turns come much later.
 func (f *Fleet) tellMembers(records []registry.Record) {
 	for _, p := range f.links {
-		p.link.SendMembers(records)
+		var news []registry.Record
+		for _, r := range records {
+			if r.Removed() || f.mayMiss(p.hello.Node(), r.Name()) {
+				news = append(news, r)
+			}
+		}
+		if len(news) > 0 {
+			p.link.SendMembers(news)
+		}
 	}
 }
 
+// mayMiss reports whether a peer and a new member may not know of each other: the
+// peer's entry was written after the member had read the others'.
+func (f *Fleet) mayMiss(peer, member string) bool {
+	listed, ok := f.members[peer]
+	return peer != member && (!ok || listed.version > f.members[member].read)
+}
+
 // learnMembers takes in what a peer's turn at the store brought.
 func (f *Fleet) learnMembers(ctx context.Context, records []registry.Record) {
 	for _, r := range records {
--- a/lib/registry/registrar.go
+++ b/lib/registry/registrar.go
@@ -29,6 +29,7 @@
 type Registrar struct {
 	store   *Store
 	clock   clockwork.Clock
+	node    string
 	member  Record
 	inbox   *task.Inbox[registrarMessage]
 	pending []Record
@@ -39,23 +40,25 @@
 
 // registrarMessage is a closed union; exactly one part is set.
 type registrarMessage struct {
-	start     bool
-	found     *Record
+	start     *Record
+	kept      bool
 	restore   bool
 	departure *Record
 	reply     task.Reply[error]
 	gone      *Record
 }
 
-// NewRegistrar returns a registrar of the member record of this node. health is
-// called with the result of each call.
-func NewRegistrar(store *Store, clock clockwork.Clock, member Record, health func(error)) *Registrar {
-	return &Registrar{store: store, clock: clock, member: member, inbox: task.NewInbox[registrarMessage](registrarSize), backoff: retryMin, health: health}
+// NewRegistrar returns a registrar of the named node. health is called with the
+// result of each call.
+func NewRegistrar(store *Store, clock clockwork.Clock, node string, health func(error)) *Registrar {
+	return &Registrar{store: store, clock: clock, node: node, inbox: task.NewInbox[registrarMessage](registrarSize), backoff: retryMin, health: health}
 }
 
-// Start writes the entry, unless the store holds it as found from an earlier
-// process of this node.
-func (r *Registrar) Start(found *Record) { r.inbox.Send(registrarMessage{start: true, found: found}) }
+// Start begins to keep the entry of this node. It is written, unless the store holds
+// it from an earlier process.
+func (r *Registrar) Start(member Record, kept bool) {
+	r.inbox.Send(registrarMessage{start: &member, kept: kept})
+}
 
 // Restore writes the entry again, since the store has lost it. It never blocks.
 func (r *Registrar) Restore() { r.inbox.TrySend(registrarMessage{restore: true}) }
@@ -68,7 +71,7 @@
 // leaves. An error means that this is not yet so; the registrar goes on trying.
 func (r *Registrar) Depart(ctx context.Context, instance string, born int64) error {
 	reply := task.NewReply[error]()
-	record := NewDeparture(r.member.name, instance, born)
+	record := NewDeparture(r.node, instance, born)
 	if !r.inbox.Send(registrarMessage{departure: &record, reply: reply}) {
 		return context.Canceled
 	}
@@ -101,10 +104,13 @@
 
 func (r *Registrar) handle(ctx context.Context, m registrarMessage) {
 	switch {
-	case m.start && (m.found == nil || string(m.found.value) != string(r.member.value)):
-		r.add(r.member)
-		_ = r.write(ctx, callTimeout) // health was told; it is repeated
-	case m.restore:
+	case m.start != nil:
+		r.member = *m.start
+		if !m.kept {
+			r.add(r.member)
+			_ = r.write(ctx, callTimeout) // health was told; it is repeated
+		}
+	case m.restore && r.member.name != "":
 		// It is written after a pause, since many entries may be lost at once.
 		r.add(r.member)
 		if r.left != nil {
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -129,9 +129,9 @@
 	return registry.NewStore(whole, nil, take(k.puts), take(k.removed))
 }
 
-func registrar(t *testing.T, k *keeping, member registry.Record) *registry.Registrar {
+func registrar(t *testing.T, k *keeping) *registry.Registrar {
 	t.Helper()
-	r := registry.NewRegistrar(k.store(), clockwork.NewRealClock(), member, func(error) {})
+	r := registry.NewRegistrar(k.store(), clockwork.NewRealClock(), "a", func(error) {})
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go r.Run(ctx)
@@ -142,8 +142,8 @@
 // while the store is away.
 func TestEntryThatTheStoreLostIsBackWithinTwoSeconds(t *testing.T) {
 	k := newKeeping()
-	r := registrar(t, k, registry.NewRecord(registry.KindMember, "a", []byte("x")))
-	r.Start(nil)
+	r := registrar(t, k)
+	r.Start(registry.NewRecord(registry.KindMember, "a", []byte("x")), false)
 	must.Eq(t, registry.KindMember, (<-k.puts).Kind())
 	must.NoError(t, r.Depart(context.Background(), "i-1", 5))
 	must.Eq(t, registry.KindDeparture, (<-k.puts).Kind())
@@ -160,18 +160,17 @@
 func TestEntryOfAnEarlierProcessIsKept(t *testing.T) {
 	k := newKeeping()
 	member := registry.NewRecord(registry.KindMember, "a", []byte("x"))
-	r := registrar(t, k, member)
-	r.Start(&member)
+	r := registrar(t, k)
+	r.Start(member, true)
 	time.Sleep(300 * time.Millisecond)
 	must.Eq(t, 0, len(k.puts))
-	moved := registry.NewRecord(registry.KindMember, "a", []byte("elsewhere"))
-	r.Start(&moved)
+	r.Restore()
 	must.Eq(t, "x", string((<-k.puts).Value()))
 }
 
 func TestEntryOfANodeThatIsGoneIsRemoved(t *testing.T) {
 	k := newKeeping()
-	r := registrar(t, k, registry.NewRecord(registry.KindMember, "a", nil))
+	r := registrar(t, k)
 	r.Gone(registry.NewRecord(registry.KindMember, "b", nil).At(7))
 	gone := <-k.removed
 	must.Eq(t, "b", gone.Name())
@@ -180,8 +179,8 @@
 
 func TestDepartureThatTheStoreRefusesIsWrittenLater(t *testing.T) {
 	k := newKeeping()
-	r := registrar(t, k, registry.NewRecord(registry.KindMember, "a", nil))
-	r.Start(nil)
+	r := registrar(t, k)
+	r.Start(registry.NewRecord(registry.KindMember, "a", nil), false)
 	<-k.puts
 	k.down.Store(true)
 	must.Error(t, r.Depart(context.Background(), "i-1", 5))
--- a/savorygap-node/internal/storage/storage.go
+++ b/savorygap-node/internal/storage/storage.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"savorygap.example/lib/fleet"
 	"savorygap.example/lib/registry"
 	"savorygap.example/platform"
 	"savorygap.example/savorygap-node/internal/process"
@@ -40,14 +39,10 @@
 		ReadBufferSize: buffer, WriteBufferSize: buffer,
 	}}
 	store := platform.NewStore(t.StoreAddress(), client, p.Metrics().StoreCalled)
-	member, err := fleet.EncodeMember(fleet.NewMember(t.Host(), t.AdvertisedAddress(), t.DataCentre(), t.Service()))
-	if err != nil {
-		return err
-	}
 	health := &health{process: p}
 	follower := registry.NewFollower(store, p.Clock(), func() float64 { return p.Fleet().Share() }, func(begins bool) { p.Fleet().Turn(begins) },
 		func(u registry.Update) { p.Fleet().Learn(u) }, health.followed)
-	registrar := registry.NewRegistrar(store, p.Clock(), member, health.wrote)
+	registrar := registry.NewRegistrar(store, p.Clock(), t.Host(), health.wrote)
 	p.SetStore(store, registrar, follower)
 	return nil
 }
