--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -8,9 +8,14 @@
 // that is behind, as while the store turns it away, gets it from a peer. A node
 // only ever moves to a higher version.
 //
+// A configuration spreads as a tree: a node hands over a bounded number of bytes
+// and sends others on to those that have it. What this node's turn at the store
+// brings of other nodes' entries it tells to the peers that may not know it. An
+// entry whose node has been out of reach for long is removed.
+//
 // # Usage
 //
-//	f := fleet.New(self, decode, server, hooks, clock, log)
+//	f := fleet.New(self, charts, hooks, server, clock, log)
 //	go f.Run(ctx, listener)
 //	f.Learn(update)
 package fleet
--- a/lib/link/doc.go
+++ b/lib/link/doc.go
@@ -1,6 +1,6 @@
 // Package link carries what two nodes say to each other over one TCP
-// connection: asks for places, requests and answers, load, and which
-// configuration is in force.
+// connection: asks for places, requests and answers, load, which configuration
+// is in force and its text, and changes to the entries of nodes.
 //
 // Both ends are equal: either may ask, whoever opened the connection. Messages
 // of many requests share it; bodies travel in parts, so that a long one does not
@@ -12,7 +12,7 @@
 //
 // # Usage
 //
-//	l := link.New(conn, serial, hello, server, hooks, clock)
+//	l := link.New(conn, reader, serial, peer, server, hooks, clock)
 //	go l.Run(ctx)
 //	port := l.Port()
 package link
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -3,12 +3,16 @@
 // service, the nodes that live, and the servers that leave.
 //
 // A Store is a concrete type made of function fields; a front end fills them
-// with the protocol of its store. Follow keeps a node up to date with it.
+// with the protocol of its store. A Follower keeps a node up to date with it, in
+// turns with other nodes; a Registrar writes what concerns the node.
 //
 // # Usage
 //
 //	s := registry.NewStore(read, follow, put, remove)
-//	records, version, err := s.Read(ctx)
+//	f := registry.NewFollower(s, clock, share, tell, update, health)
+//	go f.Run(ctx)
+//	r := registry.NewRegistrar(s, clock, "host-1", health)
+//	go r.Run(ctx)
 package registry
 
 import (
