fix(node): accept no request during a drain that may outlive the process

Traced: a draining node served callers' kept connections until 4.2 s after SIGTERM (3.2 s until the listener closes, and 1 s idle), and ended at 5.5 s of the grace period of 6 s. A request read at 4.0 s with 5 s left found a server, and the process ended under it: closed without an answer, its run cut. Ruled out: a server that drains while its kept connection is chosen (the server was sound, and the caller's connection ended).

Change: the router knows when the node stops. A call received later than 2.8 s after the signal is refused at once, as not run, unless its time is over before the process ends; its answer closes the connection, and other nodes are ready by then. Kept connections are closed from 2.2 s on, when two readiness probes have failed, in place of 3.2 s; the listener still closes at 3.2 s.

--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -133,6 +133,10 @@
 	if route.Timeout() > 0 && route.Timeout() < p.call.timeLeft {
 		p.deadline = p.call.received.Add(route.Timeout())
 	}
+	if p.plan.stop.refuses(p.call.received, p.deadline) {
+		p.reason = ErrStopping.Error()
+		return p.endWithoutSlot()
+	}
 	ctx, cancel := context.WithDeadline(ctx, p.deadline)
 	defer cancel()
 	candidates := p.plan.candidates
--- a/lib/dispatch/dispatch_test.go
+++ b/lib/dispatch/dispatch_test.go
@@ -300,3 +300,32 @@
 	must.Eq(t, http.StatusServiceUnavailable, got.Status())
 	must.NotEq(t, "", got.Header().Get("Retry-After"))
 }
+
+// TestServe_StoppingNodeRefusesWhatMayOutliveIt guards against a planned stop that
+// cuts off requests: a caller on a kept connection may send one shortly before the
+// process ends.
+func TestServe_StoppingNodeRefusesWhatMayOutliveIt(t *testing.T) {
+	a := newFakeServer("a", "shop", 1)
+	a.finalEvent = respondWith(http.StatusOK)
+	r := newRouter(t, a)
+	now := time.Now()
+	routeTimeout := 400 * time.Millisecond
+	for name, c := range map[string]struct {
+		lastAccepted, end time.Time
+		want              int
+	}{
+		"received in time":    {now.Add(time.Second), now.Add(time.Millisecond), http.StatusOK},
+		"over before the end": {now.Add(-time.Second), now.Add(routeTimeout + time.Second), http.StatusOK},
+		"may be cut off":      {now.Add(-time.Second), now.Add(routeTimeout / 2), http.StatusServiceUnavailable},
+		"end is already over": {now.Add(-2 * time.Second), now.Add(-time.Second), http.StatusServiceUnavailable},
+		"node does not stop":  {time.Time{}, time.Time{}, http.StatusOK},
+	} {
+		r.StopAt(c.lastAccepted, c.end)
+		got := r.Serve(context.Background(), callAt(now, "/order/1", "id"))
+		must.Eq(t, c.want, got.Status(), must.Sprint(name))
+		if c.want == http.StatusServiceUnavailable {
+			must.NotEq(t, "", got.Header().Get("Retry-After"), must.Sprint(name))
+		}
+	}
+	must.Eq(t, 3, len(a.submitted))
+}
--- a/lib/dispatch/messages.go
+++ b/lib/dispatch/messages.go
@@ -20,17 +20,31 @@
 	peers       *[]fleet.Peer
 	localServer *localServerMessage
 	nodeCount   *int
+	stop        *stopTimes
 	dump        task.Reply[Dump]
 }
 
+// stopTimes are the times of a node that stops, zero for one that does not.
+type stopTimes struct {
+	lastAccepted time.Time
+	end          time.Time
+}
+
+// refuses reports whether a call received at the given time may still be under
+// way when the node stops.
+func (s stopTimes) refuses(received, deadline time.Time) bool {
+	return !s.end.IsZero() && received.After(s.lastAccepted) && deadline.After(s.end)
+}
+
 // plan is the result of matching a call: its route, the service chosen for it,
-// and the servers to ask for a slot.
+// the servers to ask for a slot, and when the node stops.
 type plan struct {
 	route       *routeconfig.Route
 	service     string
 	version     uint64
 	meanLatency time.Duration
 	candidates  []candidate
+	stop        stopTimes
 }
 
 // candidate is a server to ask for a slot, with the cost factor of its
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -94,6 +94,7 @@
 	inbox             *task.Inbox[message]
 	requestChart      *chart.Chart
 	snapshot          fleet.Snapshot
+	stop              stopTimes
 	local             *server
 	servers           map[string][]*server
 	selectors         map[string]*weightedSelector
@@ -176,6 +177,13 @@
 // SetNodeCount sets the number of nodes that share the retry budgets.
 func (r *Router) SetNodeCount(count int) { r.inbox.Send(message{nodeCount: &count}) }
 
+// StopAt announces that the node stops at end. A call received after lastAccepted
+// is then refused at once unless its time is over by end, so that no server is at
+// work for a caller that cannot be answered.
+func (r *Router) StopAt(lastAccepted, end time.Time) {
+	r.inbox.Send(message{stop: &stopTimes{lastAccepted: lastAccepted, end: end}})
+}
+
 // ActiveRequests returns the number of requests in progress.
 func (r *Router) ActiveRequests() int { return int(r.active.Load()) }
 
@@ -211,6 +219,8 @@
 		r.setLocalServer(m.localServer)
 	case m.nodeCount != nil:
 		r.nodeCount = *m.nodeCount
+	case m.stop != nil:
+		r.stop = *m.stop
 	case m.dump != nil:
 		m.dump <- r.dump()
 	}
@@ -247,7 +257,7 @@
 	}
 	service := r.selectors[key].next(route.Services())
 	r.budget(service).deposit(r.clock.Now(), r.config.retryLimits, r.nodeCount, 1)
-	return plan{route: route, service: service, version: r.snapshot.Version(), meanLatency: r.meanLatencies[key], candidates: r.candidates(service, nil)}, nil
+	return plan{route: route, service: service, version: r.snapshot.Version(), stop: r.stop, meanLatency: r.meanLatencies[key], candidates: r.candidates(service, nil)}, nil
 }
 
 // routeKey identifies a route across versions of the configuration.
--- a/savorygap-node/internal/pipeline/node_test.go
+++ b/savorygap-node/internal/pipeline/node_test.go
@@ -1,6 +1,7 @@
 package pipeline_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -453,6 +454,45 @@
 	<-a.done
 }
 
+// TestStoppingNode_CutsOffNoRequestTakenLate sends requests on kept connections until
+// the node closes them, to a server that takes longer than the rest of the grace
+// period. Each that was read must get an answer.
+func TestStoppingNode_CutsOffNoRequestTakenLate(t *testing.T) {
+	cl := newCluster(t)
+	cl.store.Put("op/config", configuration(2, `,{"Name":"slow","PathPrefix":"/slow/","Kind":"unsafe","TimeoutS":6,"TargetLatencyS":5,"Priority":1,"Service":"shop","Attempts":2}`))
+	a, b := cl.addHost(t, "till", 0), cl.addHost(t, "shop", 4*time.Second)
+	const connections = 8
+	conns := make([]net.Conn, connections)
+	for i := range conns {
+		var err error
+		conns[i], err = net.Dial("tcp", a.addresses["callers"])
+		must.NoError(t, err)
+		must.NoError(t, conns[i].SetDeadline(time.Now().Add(15*time.Second)))
+		defer func() { must.NoError(t, conns[i].Close()) }()
+	}
+	a.signals <- syscall.SIGTERM
+	stopped := time.Now()
+	read, statuses := 0, map[int]int{}
+	for i, conn := range conns {
+		time.Sleep(time.Until(stopped.Add(2900*time.Millisecond + time.Duration(i)*30*time.Millisecond)))
+		if _, err := fmt.Fprintf(conn, "POST /slow/1 HTTP/1.1\r\nHost: farm.example\r\nSavorygap-Attempt-Id: id-%d\r\nSavorygap-Deadline-Ms: 6000\r\nContent-Length: 1\r\n\r\nx", i); err != nil {
+			continue
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			continue // the node closed the connection; whether it had read the request is checked below
+		}
+		read++
+		must.True(t, response.Close, must.Sprint(i))
+		must.NoError(t, response.Body.Close())
+		statuses[response.StatusCode]++
+	}
+	must.Greater(t, 1, read)
+	must.MapEq(t, map[int]int{http.StatusServiceUnavailable: read}, statuses)
+	must.Eq(t, 0, len(takeRequestIDs(b.server)))
+	<-a.done
+}
+
 func TestAnnouncement_InvalidIsRejected(t *testing.T) {
 	cl := newCluster(t)
 	a := cl.addHost(t, "shop", 0)
--- a/savorygap-node/internal/process/lifecycle.go
+++ b/savorygap-node/internal/process/lifecycle.go
@@ -21,6 +21,12 @@
 	// platform probes readiness once a second and directs callers elsewhere after the
 	// second failure.
 	drainAcceptPeriod = 3200 * time.Millisecond
+	// drainMoveDelay is how long a draining node keeps callers' connections open for
+	// further requests. By then two readiness probes have failed.
+	drainMoveDelay = 2200 * time.Millisecond
+	// drainLastAccepted is the time from which on a draining node accepts only requests
+	// whose time is over before the process ends.
+	drainLastAccepted = 2800 * time.Millisecond
 	// drainGraceMargin is how long before the end of the grace period the process
 	// stops waiting for requests.
 	drainGraceMargin = 500 * time.Millisecond
@@ -38,6 +44,7 @@
 // drainState is the progress of a drain.
 type drainState struct {
 	startedAt      time.Time
+	callersMoved   bool
 	listenerClosed bool
 	ticks          <-chan time.Time
 }
@@ -79,12 +86,20 @@
 	}
 }
 
-// stopListening begins the drain. The listener closes after drainAcceptPeriod, within
-// which the platform directs callers elsewhere.
+// stopListening begins the drain. Callers' connections are closed from drainMoveDelay
+// on, and the listener after drainAcceptPeriod, within which the platform directs
+// callers elsewhere.
 func (p *Process) stopListening() {
-	p.draining = &drainState{startedAt: p.clock.Now(), ticks: p.clock.NewTicker(drainCheckInterval).Chan()}
+	now := p.clock.Now()
+	p.draining = &drainState{startedAt: now, ticks: p.clock.NewTicker(drainCheckInterval).Chan()}
+	if p.router != nil {
+		p.router.StopAt(now.Add(drainLastAccepted), now.Add(p.drainTime()))
+	}
 }
 
+// drainTime returns how long the process waits for requests after the signal.
+func (p *Process) drainTime() time.Duration { return p.settings.DrainGrace() - drainGraceMargin }
+
 func (p *Process) fire(e chart.Event) {
 	from := p.machine.State()
 	if !p.machine.Accepts(e) {
@@ -153,20 +168,24 @@
 	}
 }
 
-// continueDrain closes the listener after drainAcceptPeriod, and ends the drain when
-// no request is left or the grace period is almost over.
+// continueDrain moves callers away after drainMoveDelay, closes the listener after
+// drainAcceptPeriod, and ends the drain when no request is left or the grace period
+// is almost over.
 func (p *Process) continueDrain() {
 	elapsed := p.clock.Since(p.draining.startedAt)
+	if !p.draining.callersMoved && elapsed >= drainMoveDelay {
+		p.draining.callersMoved = true
+		p.frontend.Drain()
+	}
 	if !p.draining.listenerClosed && elapsed >= drainAcceptPeriod {
 		p.draining.listenerClosed = true
 		p.serverProxy.Drain()
-		p.frontend.Drain()
 		if err := p.callerListener.Close(); err != nil {
 			p.log.Write("close-failed", "error", err.Error())
 		}
 	}
 	remaining := p.frontend.OpenConnections() + p.router.ActiveRequests() + p.serverProxy.InFlight()
-	graceOver := elapsed >= p.settings.DrainGrace()-drainGraceMargin
+	graceOver := elapsed >= p.drainTime()
 	if p.draining.listenerClosed && remaining == 0 || graceOver {
 		p.log.Write("drained", "after_ms", elapsed.Milliseconds(), "left", remaining)
 		p.fire(eventDrained)
