fix(frontend): keep one request's fault from ending others, and say when a connection closes

Cause, by reading and by tests: a chunk line longer than the read buffer was taken for a caller that left, so it cancelled every request of its connection. A body refused for want of memory got no Retry-After. A draining node's last answer on a kept connection did not say that it closes, so a caller could send its next request into the close. A panic in a connection's goroutine ended the process.

Change: the long chunk line is a 400 after the answers that are due; a refusal with 503 has a Retry-After of 0.2 s; the last answer says "Connection: close" when the reader has ended; panics end one request (503 if it was not passed on, else 502) and are logged in one line with their stack (task.Catch, task.Guard).

Before: TestBody_LongChunkLineIsRejected (reset), TestDrain_LastResponseClosesConnection and TestBody_WithoutMemoryIsRefusedWithRetryAfter failed. After: they pass.

--- a/lib/eventlog/eventlog.go
+++ b/lib/eventlog/eventlog.go
@@ -14,12 +14,15 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	kitlog "github.com/go-kit/log"
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/time/rate"
+
+	"savorygap.example/lib/task"
 )
 
 const (
@@ -67,6 +70,26 @@
 	}
 }
 
+// WritePanic logs a panic that a task has survived, with its stack.
+func (l *Log) WritePanic(name string, e *task.PanicError) {
+	l.Write("panic", "task", name, "error", e.Error(), "stack", e.Stack())
+}
+
+// Writer returns a writer that logs each write as one event, for the logs of
+// libraries.
+func (l *Log) Writer(event string) io.Writer { return &lineWriter{log: l, event: event} }
+
+type lineWriter struct {
+	log   *Log
+	event string
+}
+
+// Write implements io.Writer.
+func (w *lineWriter) Write(text []byte) (int, error) {
+	w.log.Write(w.event, "error", strings.TrimSpace(string(text)))
+	return len(text), nil
+}
+
 // Dropped returns the number of lines dropped since the count was last logged.
 func (l *Log) Dropped() uint64 { return l.dropped.Load() }
 
--- a/lib/frontend/body.go
+++ b/lib/frontend/body.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -94,6 +95,9 @@
 
 func readChunkLine(r *bufio.Reader) (string, error) {
 	line, err := r.ReadSlice('\n')
+	if errors.Is(err, bufio.ErrBufferFull) {
+		return "", badRequest("chunk line too long")
+	}
 	if err != nil {
 		return "", err
 	}
--- a/lib/frontend/conn.go
+++ b/lib/frontend/conn.go
@@ -15,6 +15,7 @@
 
 	"savorygap.example/lib/dispatch"
 	"savorygap.example/lib/headers"
+	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
 )
 
@@ -37,12 +38,14 @@
 	drainIdleTimeout = time.Second
 )
 
-// conn is a connection from a caller.
+// conn is a connection from a caller. inputEnded is closed when no further request
+// is read from it.
 type conn struct {
-	frontend  *Frontend
-	raw       net.Conn
-	reader    *bufio.Reader
-	responses chan pendingResponse
+	frontend   *Frontend
+	raw        net.Conn
+	reader     *bufio.Reader
+	responses  chan pendingResponse
+	inputEnded chan struct{}
 }
 
 // pendingResponse is a response that is still to be written. Responses are
@@ -57,7 +60,7 @@
 }
 
 func newConn(f *Frontend, raw net.Conn) *conn {
-	return &conn{frontend: f, raw: raw, reader: bufio.NewReaderSize(raw, readBufferSize), responses: make(chan pendingResponse, maxPipelined)}
+	return &conn{frontend: f, raw: raw, reader: bufio.NewReaderSize(raw, readBufferSize), responses: make(chan pendingResponse, maxPipelined), inputEnded: make(chan struct{})}
 }
 
 // run serves the connection. The context of its requests is cancelled when the
@@ -69,12 +72,14 @@
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
+		defer task.Catch(c.logPanic)
 		c.writeResponses(cancel)
 	}()
 	stop := make(chan struct{})
 	defer close(stop)
 	go c.closeIdleOnDrain(stop)
 	disconnected := c.readRequests(ctx)
+	close(c.inputEnded)
 	close(c.responses)
 	if disconnected {
 		cancel()
@@ -84,6 +89,11 @@
 	<-written
 }
 
+func (c *conn) logPanic(e *task.PanicError) {
+	c.frontend.log.WritePanic("caller-connection", e)
+	_ = c.raw.Close()
+}
+
 // closeIdleOnDrain ends the wait for further requests drainIdleTimeout after
 // draining starts.
 func (c *conn) closeIdleOnDrain(stop <-chan struct{}) {
@@ -135,6 +145,10 @@
 // readRequest reads one request and starts serving it. last reports whether it
 // is the last one of the connection.
 func (c *conn) readRequest(ctx context.Context) (last bool, err error) {
+	defer task.Catch(func(e *task.PanicError) {
+		c.frontend.log.WritePanic("caller-connection", e)
+		last, err = true, &MalformedRequestError{status: http.StatusServiceUnavailable, reason: e.Error()}
+	})
 	limits := c.frontend.limits.Load()
 	if err := c.awaitRequest(limits.IdleTimeout()); err != nil {
 		return false, err
@@ -214,6 +228,10 @@
 	c.frontend.bufferedBytes.Add(size)
 	go func() {
 		defer c.frontend.bufferedBytes.Add(-size)
+		defer task.Catch(func(e *task.PanicError) {
+			c.frontend.log.WritePanic("request", e)
+			response <- upstream.NewResponse(http.StatusBadGateway, http.Header{}, []byte(e.Error()+"\n"))
+		})
 		response <- c.frontend.serve(ctx, call)
 	}()
 	c.responses <- pendingResponse{response: response, id: id, method: request.Method, last: last}
@@ -252,7 +270,7 @@
 func (c *conn) writeResponses(cancel context.CancelFunc) {
 	defer cancel()
 	for r := range c.responses {
-		text, ok := c.awaitResponse(r)
+		text, last, ok := c.awaitResponse(r)
 		if !ok {
 			_ = c.raw.Close()
 			c.closeWrite()
@@ -262,7 +280,7 @@
 		if err == nil {
 			_, err = c.raw.Write(text)
 		}
-		if err != nil || r.last {
+		if err != nil || last {
 			c.closeWrite()
 			if err != nil {
 				c.frontend.log.Write("answer-undelivered", "request", r.id, "error", err.Error())
@@ -273,17 +291,30 @@
 	}
 }
 
-// awaitResponse waits for a response and returns it in HTTP/1.1 wire format. It
-// returns false if the request was cancelled and has no response.
-func (c *conn) awaitResponse(r pendingResponse) ([]byte, bool) {
+// awaitResponse waits for a response and returns it in HTTP/1.1 wire format, and
+// whether it is the last one of the connection, which it then states. It returns
+// false if the request was cancelled and has no response.
+func (c *conn) awaitResponse(r pendingResponse) (text []byte, last, ok bool) {
 	if r.interim {
-		return []byte("HTTP/1.1 100 Continue\r\n\r\n"), true
+		return []byte("HTTP/1.1 100 Continue\r\n\r\n"), false, true
 	}
 	final := <-r.response
 	if final == nil {
-		return nil, false
+		return nil, false, false
+	}
+	last = r.last || c.noFurtherResponse()
+	return c.frontend.encodeResponse(final, r.id, r.method, last), last, true
+}
+
+// noFurtherResponse reports whether no request is read any more and no other
+// response is due.
+func (c *conn) noFurtherResponse() bool {
+	select {
+	case <-c.inputEnded:
+		return len(c.responses) == 0
+	default:
+		return false
 	}
-	return c.frontend.encodeResponse(final, r.id, r.method, r.last), true
 }
 
 // closeWrite shuts down the sending side of the connection and discards the
--- a/lib/frontend/frontend.go
+++ b/lib/frontend/frontend.go
@@ -21,6 +21,10 @@
 // process is out of file descriptors.
 const acceptRetryDelay = 50 * time.Millisecond
 
+// unreadRetryAfter is the retry delay of a request that could not be read, for
+// example for want of memory, which a body holds for about as long.
+const unreadRetryAfter = 200 * time.Millisecond
+
 // Config holds the frontend's static settings.
 type Config struct {
 	names         headernames.Set
@@ -98,9 +102,13 @@
 	}
 }
 
-// errorResponse returns the response to a malformed request.
+// errorResponse returns the response to a request that was not passed on.
 func errorResponse(e *MalformedRequestError) *upstream.Response {
-	return upstream.NewResponse(e.status, http.Header{"Content-Type": {"text/plain"}}, []byte(e.reason+"\n"))
+	header := http.Header{"Content-Type": {"text/plain"}}
+	if e.status == http.StatusServiceUnavailable {
+		header.Set("Retry-After", strconv.FormatFloat(unreadRetryAfter.Seconds(), 'f', -1, 64))
+	}
+	return upstream.NewResponse(e.status, header, []byte(e.reason+"\n"))
 }
 
 // encodeResponse returns the response in HTTP/1.1 wire format.
--- a/lib/frontend/frontend_test.go
+++ b/lib/frontend/frontend_test.go
@@ -235,3 +235,54 @@
 		must.False(t, strings.Contains(text, "\r\n "))
 	})
 }
+
+// TestBody_WithoutMemoryIsRefusedWithRetryAfter has more bodies arrive than the node
+// may hold.
+func TestBody_WithoutMemoryIsRefusedWithRetryAfter(t *testing.T) {
+	s := newTestFrontend(t, "1", "2")
+	s.frontend.SetLimits(routeconfig.NewLimits(16<<10, 4<<20, time.Second, time.Second))
+	held := s.dial()
+	body := strings.Repeat("a", 2<<20)
+	send(t, held, "POST /a/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: 1\r\nContent-Length: 2097152\r\n\r\n"+body)
+	<-s.calls
+	refused := s.dial()
+	send(t, refused, "POST /a/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: 2\r\nContent-Length: 1\r\n\r\na")
+	response, err := http.ReadResponse(bufio.NewReader(refused), nil)
+	must.NoError(t, err)
+	must.NoError(t, response.Body.Close())
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+	must.Eq(t, "0.2", response.Header.Get("Retry-After"))
+}
+
+// TestBody_LongChunkLineIsRejected guards against one malformed body that cancels the
+// other requests of its connection.
+func TestBody_LongChunkLineIsRejected(t *testing.T) {
+	s := newTestFrontend(t, "1")
+	conn := s.dial()
+	send(t, conn, getRequest("1", "")+"POST /a/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: 2\r\nTransfer-Encoding: chunked\r\n\r\n1;"+strings.Repeat("x", 8<<10))
+	<-s.calls
+	time.Sleep(50 * time.Millisecond)
+	s.responses["1"] <- okResponse("first")
+	reader := bufio.NewReader(conn)
+	status, body := readResponse(t, reader)
+	must.Eq(t, http.StatusOK, status)
+	must.Eq(t, "first", body)
+	status, _ = readResponse(t, reader)
+	must.Eq(t, http.StatusBadRequest, status)
+}
+
+// TestDrain_LastResponseClosesConnection guards against a caller that sends another
+// request on a connection that the node is about to close.
+func TestDrain_LastResponseClosesConnection(t *testing.T) {
+	s := newTestFrontend(t, "1")
+	conn := s.dial()
+	send(t, conn, getRequest("1", ""))
+	<-s.calls
+	s.frontend.Drain()
+	time.Sleep(1200 * time.Millisecond)
+	s.responses["1"] <- okResponse("x")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	must.NoError(t, response.Body.Close())
+	must.True(t, response.Close)
+}
--- a/lib/task/task.go
+++ b/lib/task/task.go
@@ -12,7 +12,8 @@
 //
 // Send blocks while the inbox is full and returns false once the task has
 // stopped, so that no sender waits for a stopped task. Latest is a channel for
-// a value of which only the newest matters; its writer never blocks.
+// a value of which only the newest matters; its writer never blocks. Guard and
+// Catch keep a panic from ending the process.
 package task
 
 import "context"
@@ -112,19 +113,28 @@
 // block.
 func NewReply[T any]() Reply[T] { return make(Reply[T], 1) }
 
-// Wait returns the response, or false when ctx ends or the responding task stops
-// without a response. The channel stopped is the Done channel of that task.
+// Abandon tells the waiting task that there will be no response, unless there was
+// one already. Only the responding task may call it, once. A nil reply is ignored.
+func (r Reply[T]) Abandon() {
+	if r != nil {
+		close(r)
+	}
+}
+
+// Wait returns the response, or false when ctx ends, or when the responding task
+// stops or abandons the reply without a response. The channel stopped is the Done
+// channel of that task.
 func (r Reply[T]) Wait(ctx context.Context, stopped <-chan struct{}) (T, bool) {
 	var zero T
 	select {
-	case v := <-r:
-		return v, true
+	case v, ok := <-r:
+		return v, ok
 	case <-ctx.Done():
 		return zero, false
 	case <-stopped:
 		select {
-		case v := <-r:
-			return v, true
+		case v, ok := <-r:
+			return v, ok
 		default:
 			return zero, false
 		}
