fix(node): a panic in a task ends one message, not the process

Cause: no task recovered, so one unexpected value in any message, of a caller, a server, a peer or the store, took the node and every request on it down.

Change: router, server proxy, fleet and registrar guard each message and go on with the next; who waits for a reply is told that there is none (Reply.Abandon). A call ends as not run if no attempt was made, and as unknown otherwise. A panic in a link ends that link, since its state is shared with the peer; in the watcher it counts as a failed call. Each is one JSON line, "panic", with the stack, and so are the errors of the HTTP servers for announcements and metrics.

--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -94,16 +94,20 @@
 
 // Serve handles a call and returns the response for the caller, or nil if the
 // caller has disconnected.
-func (r *Router) Serve(ctx context.Context, c Call) *upstream.Response {
+func (r *Router) Serve(ctx context.Context, c Call) (response *upstream.Response) {
 	r.active.Add(1)
 	defer r.active.Add(-1)
 	p := &pendingCall{router: r, call: c}
+	defer task.Catch(func(e *task.PanicError) {
+		r.log.WritePanic("call", e)
+		response = p.endAfterPanic(e)
+	})
 	machine, err := r.requestChart.NewMachine(chart.Actions{"countAttempt": p.countAttempt, "countNotRun": func() {}, "countRetry": p.countRetry})
 	if err != nil {
 		return p.errorResponse(http.StatusInternalServerError, "chart", err.Error())
 	}
 	p.machine = machine
-	response := p.serve(ctx)
+	response = p.serve(ctx)
 	p.logEnd(ctx, response)
 	if ctx.Err() != nil {
 		return nil
@@ -173,6 +177,16 @@
 	return p.refuse()
 }
 
+// endAfterPanic returns the response to a call whose handling failed. The call was
+// not run if no attempt was made.
+func (p *pendingCall) endAfterPanic(e *task.PanicError) *upstream.Response {
+	p.reason = e.Error()
+	if p.attempts > 0 {
+		return p.errorResponse(http.StatusBadGateway, "unknown", "the outcome is not known: "+p.reason)
+	}
+	return p.refuse()
+}
+
 // matchRoute asks the router for the plan of the call.
 func (p *pendingCall) matchRoute(ctx context.Context) error {
 	m := &planMessage{host: p.call.request.Host(), path: p.call.path, reply: task.NewReply[planResult]()}
@@ -181,7 +195,7 @@
 	}
 	result, ok := m.reply.Wait(ctx, p.router.inbox.Done())
 	if !ok {
-		return ErrStopping
+		return ErrNoPlan
 	}
 	p.plan = result.plan
 	return result.err
--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
 )
 
@@ -185,6 +186,7 @@
 // it to found. It closes found when it is done.
 func (p *pendingCall) reserveHedge(ctx context.Context, found chan<- offer) {
 	defer close(found)
+	defer task.Catch(func(e *task.PanicError) { p.router.log.WritePanic("hedge", e) })
 	candidates := p.candidatesExcept(ctx, append([]string{p.node}, p.tried...))
 	if len(candidates) == 0 {
 		return
--- a/lib/dispatch/messages.go
+++ b/lib/dispatch/messages.go
@@ -24,6 +24,19 @@
 	dump        task.Reply[Dump]
 }
 
+// abandon ends the wait for the reply to the message, if it has one.
+func (m message) abandon() {
+	switch {
+	case m.plan != nil:
+		m.plan.reply.Abandon()
+	case m.candidates != nil:
+		m.candidates.reply.Abandon()
+	case m.retry != nil:
+		m.retry.reply.Abandon()
+	}
+	m.dump.Abandon()
+}
+
 // stopTimes are the times of a node that stops, zero for one that does not.
 type stopTimes struct {
 	lastAccepted time.Time
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -45,6 +45,8 @@
 	ErrNoConfiguration = errors.New("no configuration is in force yet")
 	// ErrStopping reports that the node is stopping.
 	ErrStopping = errors.New("the node is stopping")
+	// ErrNoPlan reports that the router could not plan a call.
+	ErrNoPlan = errors.New("the request could not be planned")
 )
 
 // NoRouteError reports a request that matches no route.
@@ -159,7 +161,12 @@
 }
 
 // Run serves messages until ctx ends.
-func (r *Router) Run(ctx context.Context) { r.inbox.Run(ctx, r.handle) }
+func (r *Router) Run(ctx context.Context) {
+	r.inbox.Run(ctx, task.Guard(r.handle, func(m message, e *task.PanicError) {
+		r.log.WritePanic("router", e)
+		m.abandon()
+	}))
+}
 
 // SetSnapshot sets the configuration in force and the data centres that are out
 // of service.
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -294,20 +294,29 @@
 	go f.acceptLoop(ctx, listener)
 	ticker := f.clock.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			_ = listener.Close()
-			return
-		case m := <-f.inbox.Messages():
-			f.handle(ctx, m)
-		case s := <-f.serverStates.Values():
-			f.setServerState(s)
-		case <-f.fetchTimer:
-			f.fetchSnapshot()
-		case <-ticker.Chan():
-			f.tick(ctx)
-		}
+	for ctx.Err() == nil {
+		f.handleNext(ctx, ticker.Chan())
+	}
+	_ = listener.Close()
+}
+
+// handleNext waits for one message or timer and handles it.
+func (f *Fleet) handleNext(ctx context.Context, ticks <-chan time.Time) {
+	var m message
+	defer task.Catch(func(e *task.PanicError) {
+		f.log.WritePanic("fleet", e)
+		m.dump.Abandon()
+	})
+	select {
+	case <-ctx.Done():
+	case m = <-f.inbox.Messages():
+		f.handle(ctx, m)
+	case s := <-f.serverStates.Values():
+		f.setServerState(s)
+	case <-f.fetchTimer:
+		f.fetchSnapshot()
+	case <-ticks:
+		f.tick(ctx)
 	}
 }
 
--- a/lib/fleet/links.go
+++ b/lib/fleet/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -13,6 +14,7 @@
 	"savorygap.example/lib/chart"
 	"savorygap.example/lib/link"
 	"savorygap.example/lib/registry"
+	"savorygap.example/lib/task"
 )
 
 // fire passes an event to the chart unless the current state ignores it.
@@ -42,6 +44,10 @@
 
 // handshake reads the hello of a peer that opened a connection.
 func (f *Fleet) handshake(conn net.Conn) {
+	defer task.Catch(func(e *task.PanicError) {
+		f.log.WritePanic("handshake", e)
+		_ = conn.Close()
+	})
 	hello, reader, err := link.ReadHello(conn)
 	if err == nil {
 		err = link.SetUserTimeout(conn)
@@ -177,6 +183,10 @@
 	if e.err != nil {
 		cause = e.err.Error()
 	}
+	var caught *task.PanicError
+	if errors.As(e.err, &caught) {
+		f.log.WritePanic("link", caught)
+	}
 	f.log.Write("link-down", "peer", p.link.Peer(), "cause", cause, "lasted_ms", f.clock.Since(p.startedAt).Milliseconds())
 	f.publishPeers()
 }
--- a/lib/httpclient/body.go
+++ b/lib/httpclient/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -96,7 +97,7 @@
 		}
 		reserved += bodyStep
 		switch _, err := io.CopyN(&body, r, bodyStep); {
-		case err == io.EOF:
+		case errors.Is(err, io.EOF):
 			return body.Bytes(), nil
 		case err != nil:
 			return nil, err
--- a/lib/httpclient/exchange.go
+++ b/lib/httpclient/exchange.go
@@ -57,6 +57,12 @@
 	return &Result{outcome: NotRun, reason: "the server takes no connection", err: err, dialFailed: true}
 }
 
+// NewUnknown returns the result of a request that may have been written, and whose
+// response was not received.
+func NewUnknown(reason string, err error) *Result {
+	return &Result{outcome: Unknown, reason: reason, err: err}
+}
+
 // DialFailed reports whether the connection to the server could not be
 // established.
 func (r *Result) DialFailed() bool { return r.dialFailed }
--- a/lib/link/exchange.go
+++ b/lib/link/exchange.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"savorygap.example/lib/limiter"
+	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
 )
 
@@ -73,6 +74,7 @@
 // read passes the received messages to the inbox until the connection fails or
 // the link ends.
 func (l *Link) read() {
+	defer task.Catch(func(e *task.PanicError) { l.inbox.Send(command{failed: e}) })
 	for {
 		frameType, payload, err := ReadFrame(l.reader)
 		if err != nil {
--- a/lib/link/link.go
+++ b/lib/link/link.go
@@ -255,7 +255,10 @@
 	l.hooks.closed(l, err)
 }
 
-func (l *Link) serve(ctx context.Context, ticker clockwork.Ticker) error {
+// serve handles commands until the link ends, and returns why. A panic ends the
+// link, since the state that it shares with the peer is then in doubt.
+func (l *Link) serve(ctx context.Context, ticker clockwork.Ticker) (err error) {
+	defer task.Catch(func(e *task.PanicError) { err = e })
 	for {
 		select {
 		case <-ctx.Done():
--- a/lib/registry/registrar.go
+++ b/lib/registry/registrar.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -22,6 +23,9 @@
 	registrarInboxSize = 16 // messages
 )
 
+// ErrUnwritten reports that the store has not confirmed a record yet.
+var ErrUnwritten = errors.New("the store has not confirmed the record yet")
+
 // Registrar is the task that writes to the store: the entry of this node, the
 // departure of the server on its host, and the removal of entries of unreachable
 // members. An entry has no lease. It stays until another node removes it, so that
@@ -82,7 +86,7 @@
 	}
 	err, ok := reply.Wait(ctx, r.inbox.Done())
 	if !ok {
-		return ctx.Err()
+		return errors.Join(ErrUnwritten, ctx.Err())
 	}
 	return err
 }
@@ -90,13 +94,17 @@
 // Run handles messages and retries failed writes until ctx ends.
 func (r *Registrar) Run(ctx context.Context) {
 	defer r.inbox.Close()
+	handle := task.Guard(func(m registrarMessage) { r.handle(ctx, m) }, func(m registrarMessage, e *task.PanicError) {
+		r.observeResult(e)
+		m.reply.Abandon()
+	})
 	var due <-chan time.Time
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case m := <-r.inbox.Messages():
-			r.handle(ctx, m)
+			handle(m)
 		case <-due:
 			_ = r.writePending(ctx, callTimeout) // reported to observeResult and retried
 		}
@@ -144,7 +152,11 @@
 }
 
 // writePending writes the pending records in order until a call fails.
-func (r *Registrar) writePending(ctx context.Context, timeout time.Duration) error {
+func (r *Registrar) writePending(ctx context.Context, timeout time.Duration) (err error) {
+	defer task.Catch(func(e *task.PanicError) {
+		err = e
+		r.observeResult(e)
+	})
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	for len(r.pending) > 0 {
--- a/lib/registry/watcher.go
+++ b/lib/registry/watcher.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"savorygap.example/lib/task"
 )
 
 const (
@@ -182,7 +184,8 @@
 
 // call reads all records, or watches for changes after version once all records
 // were read.
-func (w *Watcher) call(ctx context.Context, version uint64, synced bool) ([]Record, uint64, error) {
+func (w *Watcher) call(ctx context.Context, version uint64, synced bool) (records []Record, next uint64, err error) {
+	defer task.Catch(func(e *task.PanicError) { err = e })
 	if !synced {
 		return w.store.Read(ctx)
 	}
--- a/lib/serverproxy/health.go
+++ b/lib/serverproxy/health.go
@@ -163,7 +163,12 @@
 	}
 }
 
-func (c *healthChecker) check(ctx context.Context, hc healthCheck) *healthResult {
+func (c *healthChecker) check(ctx context.Context, hc healthCheck) (result *healthResult) {
+	defer task.Catch(func(e *task.PanicError) {
+		c.proxy.log.WritePanic("health-checker", e)
+		c.closeConn()
+		result = &healthResult{expectedInstance: hc.instance, err: e}
+	})
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
 	defer cancel()
 	if c.conn != nil && (c.address != hc.address || !c.conn.Usable(c.proxy.clock.Now(), time.Hour)) {
@@ -178,13 +183,13 @@
 		c.conn, c.address = conn, hc.address
 	}
 	request := upstream.NewRequest("", http.MethodGet, hc.path, hc.address, http.Header{}, nil)
-	result := c.conn.Exchange(ctx, c.proxy.config.names, "", request, 0)
-	if !result.Reusable() {
+	exchange := c.conn.Exchange(ctx, c.proxy.config.names, "", request, 0)
+	if !exchange.Reusable() {
 		c.conn = nil
 	}
-	r := &healthResult{expectedInstance: hc.instance, instance: result.Instance(), coldRemaining: result.ColdRemaining(), err: result.Err()}
-	r.report, r.hasReport = result.LoadReport()
-	r.responded = result.Response() != nil
-	r.healthy = r.responded && result.Response().Status() == http.StatusOK
+	r := &healthResult{expectedInstance: hc.instance, instance: exchange.Instance(), coldRemaining: exchange.ColdRemaining(), err: exchange.Err()}
+	r.report, r.hasReport = exchange.LoadReport()
+	r.responded = exchange.Response() != nil
+	r.healthy = r.responded && exchange.Response().Status() == http.StatusOK
 	return r
 }
--- a/lib/serverproxy/messages.go
+++ b/lib/serverproxy/messages.go
@@ -128,6 +128,17 @@
 	}
 }
 
+// abandon ends the wait for the reply to the message, if it has one.
+func (m message) abandon() {
+	switch {
+	case m.announce != nil:
+		m.announce.reply.Abandon()
+	case m.leave != nil:
+		m.leave.reply.Abandon()
+	}
+	m.dump.Abandon()
+}
+
 func (p *Proxy) dump() Dump {
 	return Dump{
 		state: string(p.lifecycle.State()), dataCentre: string(p.dataCentre.State()), instance: p.instance,
--- a/lib/serverproxy/proxy.go
+++ b/lib/serverproxy/proxy.go
@@ -223,15 +223,20 @@
 	defer ticker.Stop()
 	p.health.start(ctx, p)
 	p.publishState()
+	handle := task.Guard(func(m message) { p.handle(ctx, m) }, func(m message, e *task.PanicError) {
+		p.log.WritePanic("server-proxy", e)
+		m.abandon()
+	})
+	tick := task.Guard(func(time.Time) { p.tick() }, func(_ time.Time, e *task.PanicError) { p.log.WritePanic("server-proxy", e) })
 	for {
 		select {
 		case <-ctx.Done():
 			p.closeIdleConns()
 			return
 		case m := <-p.inbox.Messages():
-			p.handle(ctx, m)
-		case <-ticker.Chan():
-			p.tick()
+			handle(m)
+		case now := <-ticker.Chan():
+			tick(now)
 		}
 		p.publishState()
 	}
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -10,6 +10,7 @@
 
 	"savorygap.example/lib/httpclient"
 	"savorygap.example/lib/limiter"
+	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
 )
 
@@ -195,6 +196,10 @@
 // it reports.
 func (p *Proxy) forward(ctx context.Context, key limiter.Key, conn *httpclient.Conn, r *upstream.Request, instance, address string) {
 	dialled := conn == nil
+	defer task.Catch(func(e *task.PanicError) {
+		p.log.WritePanic("forward", e)
+		p.inbox.Send(message{finished: &finishedMessage{key: key, result: httpclient.NewUnknown("unexpected error", e), dialled: dialled}})
+	})
 	if dialled {
 		var err error
 		if conn, err = httpclient.Dial(ctx, address, p.config.memory); err != nil {
--- a/savorygap-node/internal/pipeline/node_test.go
+++ b/savorygap-node/internal/pipeline/node_test.go
@@ -47,6 +47,8 @@
 	addresses    map[string]string
 	signals      chan os.Signal
 	done         chan struct{}
+	clock        clockwork.Clock
+	log          io.Writer
 }
 
 // cluster is a store with the hosts that use it.
@@ -79,7 +81,7 @@
 // that it accepts requests.
 func (cl *cluster) addHost(t *testing.T, service string, serviceTime time.Duration) *host {
 	t.Helper()
-	h := &host{name: fmt.Sprintf("host-%d", len(cl.hosts)+1), addresses: map[string]string{}}
+	h := &host{name: fmt.Sprintf("host-%d", len(cl.hosts)+1), addresses: map[string]string{}, clock: clockwork.NewRealClock(), log: io.Discard}
 	h.server = platformtest.NewServer("i-"+h.name, service, 10, serviceTime)
 	stop, err := h.server.Start("127.0.0.1:0")
 	must.NoError(t, err)
@@ -111,7 +113,7 @@
 	tree, err := settings.Read(h.settingsPath)
 	must.NoError(t, err)
 	pipeline.Default(tree)
-	h.process, err = process.New(tree, io.Discard, clockwork.NewRealClock())
+	h.process, err = process.New(tree, h.log, h.clock)
 	must.NoError(t, err)
 	must.NoError(t, pipeline.Run(h.process))
 	h.signals, h.done = make(chan os.Signal, 2), make(chan struct{})
--- a/savorygap-node/internal/process/process.go
+++ b/savorygap-node/internal/process/process.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"io"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -147,7 +148,8 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	errorLog := log.New(p.log.Writer("http-server"), "", 0)
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, ErrorLog: errorLog}
 	go func() {
 		<-p.ctx.Done()
 		_ = server.Close()
