fix(link): a silent peer keeps its running work; only new requests go elsewhere

Cause: a link with a request pending ended after 1.2 s of silence. A paused, cut off or overloaded host is silent for longer: its running orders were given up with a 502 while they ran, their answers were thrown away, and when it was heard again the closed link cancelled what was still running. TCP_USER_TIMEOUT of 2 s did the same in the kernel.

Change: after 1.2 s of silence a link refuses new slot requests, ends those that wait, and tells submitted requests so (event "silent"). A read is then sent to a second server, at any cost, while the first goes on; any other request waits for its answer until its time is over. The fleet leaves silent peers out and dials them again. The link ends when nothing is at work at either end. The kernel's limit is 15 s.

TestSilentPeerStillDeliversItsResponse and TestServe_SilentNodeIsWaitedForUnlessIdempotent show the parts.

--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -84,7 +84,7 @@
 	reason       string
 	retryAfter   time.Duration
 	budgetDenied bool
-	hedgeCause   string
+	hedgeCause   hedgeCause
 	// failedResponse is the error response of an earlier attempt, and
 	// uncertainReason the reason why the outcome of an earlier attempt is
 	// unknown. The call ends with them if no further slot is found.
@@ -253,7 +253,7 @@
 		}
 		p.fire(eventNotRun)
 		return p.endWithoutSlot(), false
-	case upstream.Offered, upstream.Queued, upstream.Slowed, upstream.Unknown:
+	case upstream.Offered, upstream.Queued, upstream.Slowed, upstream.Silent, upstream.Unknown:
 	}
 	p.tried = append(p.tried, p.node)
 	p.uncertainReason = p.reason
@@ -352,5 +352,5 @@
 	p.router.log.Write("request", "request", p.call.request.ID(), "outcome", outcome, "status", response.Status(), "took_ms", took.Milliseconds(),
 		"route", route, "service", p.plan.service, "version", p.plan.version, "node", p.node, "cost", p.cost, "asked", p.serversAsked,
 		"attempts", p.attempts, "waited_ms", p.searchTime.Milliseconds(), "time_left_ms", p.call.timeLeft.Milliseconds(), "nested", p.call.nested,
-		"budget_denied", p.budgetDenied, "hedge", p.hedgeCause, "reason", p.reason)
+		"budget_denied", p.budgetDenied, "hedge", string(p.hedgeCause), "reason", p.reason)
 }
--- a/lib/dispatch/dispatch_test.go
+++ b/lib/dispatch/dispatch_test.go
@@ -329,3 +329,33 @@
 	}
 	must.Eq(t, 3, len(a.submitted))
 }
+
+// TestServe_SilentNodeIsWaitedForUnlessIdempotent has the node beside a server fall
+// silent while the server is at work. An order must be neither given up nor sent
+// elsewhere; a read is sent to another server.
+func TestServe_SilentNodeIsWaitedForUnlessIdempotent(t *testing.T) {
+	for path, wantSecond := range map[string]int{"/read/1": 1, "/order/1": 0} {
+		a, b := newFakeServer("a", "shop", 1), newFakeServer("b", "shop", 5)
+		b.finalEvent = respondWith(http.StatusAccepted)
+		r := newRouter(t, a, b)
+		done := make(chan *upstream.Response, 1)
+		go func() { done <- r.Serve(context.Background(), call(path, "id")) }()
+		<-a.submitted
+		events := <-a.pending
+		number := uint64(1)
+		for n := range uint64(3) {
+			events <- upstream.NewEvent(upstream.Silent, n).WithEndpoint(a.endpoint)
+			number = n
+		}
+		if wantSecond == 0 {
+			time.Sleep(50 * time.Millisecond)
+			must.Eq(t, 0, len(done), must.Sprint(path))
+			for n := range number + 1 {
+				events <- respondWith(http.StatusOK)(n).WithEndpoint(a.endpoint)
+			}
+		}
+		got := <-done
+		must.Eq(t, wantSecond, len(b.submitted), must.Sprint(path))
+		must.Eq(t, map[int]int{0: http.StatusOK, 1: http.StatusAccepted}[wantSecond], got.Status(), must.Sprint(path))
+	}
+}
--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"time"
 
@@ -10,8 +11,8 @@
 )
 
 const (
-	// maxHedgeCost is the largest cost of a slot for a hedge: above it, the
-	// second attempt would be no faster than the first.
+	// maxHedgeCost is the largest cost of a slot for a hedge while the first node is
+	// heard: above it, the second attempt would be no faster than the first.
 	maxHedgeCost = 2.0
 	// hedgeLatencyFactor is the multiple of the mean latency after which a
 	// request is hedged without a Slowed event.
@@ -29,8 +30,10 @@
 
 // execute sends the request to the offered slot and waits for its final event.
 // An idempotent request is hedged, that is, sent to a second server as well,
-// when its server slows down or it takes much longer than the mean; the first
-// success counts and the other attempt is cancelled.
+// when its server slows down, the node next to it falls silent, or it takes much
+// longer than the mean; the first success counts and the other attempt is
+// cancelled. Any other request waits for its response until its time is over: a
+// silent node may only be paused.
 func (p *pendingCall) execute(ctx context.Context, o offer) upstream.Event {
 	p.node, p.cost = o.event.Endpoint().Node(), o.event.Cost()
 	started := p.router.clock.Now()
@@ -46,13 +49,13 @@
 				p.reportLatency(e, started)
 				return e
 			case e.Kind() == upstream.Slowed && p.missesObjective(started, e.Cost()):
-				p.hedgeCause = "slowed"
-				return p.hedge(ctx, o, started)
+				return p.hedge(ctx, o, started, hedgeSlowed)
+			case e.Kind() == upstream.Silent && p.mayHedge():
+				return p.hedge(ctx, o, started, hedgeSilent)
 			}
 		case <-timer.Chan():
 			if p.mayHedge() {
-				p.hedgeCause = "late"
-				return p.hedge(ctx, o, started)
+				return p.hedge(ctx, o, started, hedgeLate)
 			}
 		case <-ctx.Done():
 			return p.cancel(o)
@@ -95,14 +98,23 @@
 	return elapsed+time.Duration(slowness*float64(left)) > objective && elapsed+mean <= objective
 }
 
+// hedgeCause is why a request is hedged.
+type hedgeCause string
+
+const (
+	hedgeSlowed hedgeCause = "slowed"
+	hedgeLate   hedgeCause = "late"
+	hedgeSilent hedgeCause = "silent"
+)
+
 // hedge reserves a slot at a second server while the first attempt goes on,
 // and sends the request there if a slot is free and the budget grants a retry.
-// It returns the final event that settles the attempt.
-func (p *pendingCall) hedge(ctx context.Context, first offer, started time.Time) upstream.Event {
+// If the first node falls silent later, it looks for a slot again. It returns the
+// final event that settles the attempt.
+func (p *pendingCall) hedge(ctx context.Context, first offer, started time.Time, cause hedgeCause) upstream.Event {
 	reserveCtx, stop := context.WithCancel(ctx)
 	defer stop()
-	found := make(chan offer, 1)
-	go p.reserveHedge(reserveCtx, found)
+	found := p.startHedge(reserveCtx, cause)
 	var second *offer
 	var secondEvents chan upstream.Event
 	for {
@@ -120,7 +132,13 @@
 			second, secondEvents = &o, o.events
 			o.event.Endpoint().Submit(o.event.Number(), p.call.request.WithDeadline(p.deadline))
 		case e := <-first.events:
-			if e.Number() != first.event.Number() || !e.Kind().Final() {
+			if e.Number() != first.event.Number() {
+				continue
+			}
+			if e.Kind() == upstream.Silent && second == nil && found == nil && p.mayHedge() {
+				found = p.startHedge(reserveCtx, hedgeSilent)
+			}
+			if !e.Kind().Final() {
 				continue
 			}
 			p.reportLatency(e, started)
@@ -146,6 +164,19 @@
 	}
 }
 
+// startHedge starts the search for a slot at a second server and returns the
+// channel that receives it.
+func (p *pendingCall) startHedge(ctx context.Context, cause hedgeCause) chan offer {
+	p.hedgeCause = cause
+	found := make(chan offer, 1)
+	request, maxCost := p.slotRequest(0), maxHedgeCost
+	if cause == hedgeSilent {
+		request, maxCost = p.slotRequest(p.maxWait(p.router.clock.Now())), math.Inf(1)
+	}
+	go p.reserveHedge(ctx, append([]string{p.node}, p.tried...), request, maxCost, found)
+	return found
+}
+
 // succeeded reports whether a server answered with a status below 500.
 func succeeded(e upstream.Event) bool {
 	return e.Kind() == upstream.Answered && e.Response().Status() < http.StatusInternalServerError
@@ -182,20 +213,21 @@
 	}
 }
 
-// reserveHedge looks for a slot that is free now and cheap enough, and sends
-// it to found. It closes found when it is done.
-func (p *pendingCall) reserveHedge(ctx context.Context, found chan<- offer) {
+// reserveHedge looks for a slot at a server other than those of the excluded nodes,
+// and sends it to found if its cost is at most maxCost. It closes found when it is
+// done.
+func (p *pendingCall) reserveHedge(ctx context.Context, exclude []string, request upstream.SlotRequest, maxCost float64, found chan<- offer) {
 	defer close(found)
 	defer task.Catch(func(e *task.PanicError) { p.router.log.WritePanic("hedge", e) })
-	candidates := p.candidatesExcept(ctx, append([]string{p.node}, p.tried...))
+	candidates := p.candidatesExcept(ctx, exclude)
 	if len(candidates) == 0 {
 		return
 	}
 	s := p.newSearch(candidates)
-	o, ok := s.run(ctx, candidates, p.slotRequest(0))
+	o, ok := s.run(ctx, candidates, request)
 	switch {
 	case !ok:
-	case o.event.Cost() > maxHedgeCost:
+	case o.event.Cost() > maxCost:
 		o.event.Endpoint().Withdraw(o.event.Number())
 	default:
 		found <- o
--- a/lib/dispatch/reserve.go
+++ b/lib/dispatch/reserve.go
@@ -193,7 +193,7 @@
 		s.reportCost(c, e.Cost())
 	case upstream.Queued:
 		s.reportCost(c, e.Cost())
-	case upstream.Slowed:
+	case upstream.Slowed, upstream.Silent:
 	case upstream.Refused, upstream.NotRun, upstream.Unknown, upstream.Answered:
 		delete(s.pending, e.Number())
 		delete(s.replied, e.Number())
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -3,8 +3,9 @@
 // from the peers.
 //
 // The store lists the members. A peer that is no longer listed is kept while its
-// link is up, so that a store that is down or has lost its entries takes no node
-// out of service. Nodes announce the versions of the configuration that they have.
+// link is up, so that requests still reach it while the store is down or has lost
+// its entries. A peer that is silent gets no new requests and is dialled again; its
+// link stays as long as requests are under way on it. Nodes announce the versions of the configuration that they have.
 // A node with an older version, for example because the store rejects its calls,
 // fetches the newer one from a peer. A node never replaces its configuration with
 // an older one.
@@ -153,6 +154,7 @@
 	helloReceived bool
 	serverState   link.ServerState
 	startedAt     time.Time
+	silent        bool
 }
 
 // message is a closed union; exactly one field is set. fetch and busy hold the link
@@ -169,6 +171,7 @@
 	busy         *link.Link
 	members      []registry.Record
 	snapshot     *snapshotMessage
+	silence      *silenceMessage
 	ended        *linkEnded
 	stopDialling bool
 	dump         task.Reply[Dump]
@@ -206,6 +209,13 @@
 	snapshot link.Snapshot
 }
 
+// silenceMessage reports that the peer of a link has become silent, or is heard
+// again.
+type silenceMessage struct {
+	link   *link.Link
+	silent bool
+}
+
 type linkEnded struct {
 	link *link.Link
 	err  error
@@ -344,6 +354,8 @@
 		f.handleMembers(ctx, m.members)
 	case m.snapshot != nil:
 		f.handleSnapshot(m.snapshot)
+	case m.silence != nil:
+		f.handleSilence(m.silence)
 	case m.ended != nil:
 		f.handleLinkEnded(m.ended)
 	case m.stopDialling:
--- a/lib/fleet/links.go
+++ b/lib/fleet/links.go
@@ -79,6 +79,9 @@
 		func(l *link.Link, s link.Snapshot) {
 			f.inbox.Send(message{snapshot: &snapshotMessage{link: l, snapshot: s}})
 		},
+		func(l *link.Link, silent bool) {
+			f.inbox.Send(message{silence: &silenceMessage{link: l, silent: silent}})
+		},
 		func(l *link.Link, err error) { f.inbox.Send(message{ended: &linkEnded{link: l, err: err}}) },
 	)
 }
@@ -172,6 +175,17 @@
 	}
 }
 
+// handleSilence records whether a peer is silent and passes the peers to the hooks.
+func (f *Fleet) handleSilence(s *silenceMessage) {
+	p, ok := f.links[s.link.ID()]
+	if !ok {
+		return
+	}
+	p.silent = s.silent
+	f.log.Write("link-silence", "peer", p.link.Peer(), "silent", s.silent, "lasted_ms", f.clock.Since(p.startedAt).Milliseconds())
+	f.publishPeers()
+}
+
 func (f *Fleet) handleLinkEnded(e *linkEnded) {
 	p, ok := f.links[e.link.ID()]
 	if !ok {
@@ -192,11 +206,11 @@
 }
 
 // publishPeers passes the peers to the hooks and updates the share of watches. Of
-// two links to the same node the newer one is used.
+// two links to the same node the newer one is used, and none that is silent.
 func (f *Fleet) publishPeers() {
 	newest := map[string]*peerLink{}
 	for _, p := range f.links {
-		if !p.helloReceived {
+		if !p.helloReceived || p.silent {
 			continue
 		}
 		if other, ok := newest[p.hello.Node()]; !ok || other.link.ID() < p.link.ID() {
@@ -262,7 +276,9 @@
 	}
 	linked := map[string]bool{f.self.node: true}
 	for _, p := range f.links {
-		linked[p.link.Peer()] = true
+		if !p.silent {
+			linked[p.link.Peer()] = true
+		}
 	}
 	now := f.clock.Now()
 	for node, m := range f.members {
--- a/lib/link/exchange.go
+++ b/lib/link/exchange.go
@@ -205,7 +205,11 @@
 }
 
 func (l *Link) handleRequest(n *numberedRequest) {
-	r := n.request.WithDeadline(l.clock.Now().Add(n.timeLeft))
+	deadline := l.clock.Now().Add(n.timeLeft)
+	if deadline.After(l.servingUntil) {
+		l.servingUntil = deadline
+	}
+	r := n.request.WithDeadline(deadline)
 	if n.bodyLength == 0 {
 		l.handler.submit(l.key(n.number), r)
 		return
--- a/lib/link/link.go
+++ b/lib/link/link.go
@@ -29,22 +29,28 @@
 	// idlePingInterval is the silence of the peer after which it is sent a ping while
 	// no request is pending.
 	idlePingInterval = 2 * time.Second
-	// peerTimeout is the silence of the peer after which the link ends while requests
-	// are pending; an idle link waits idlePingInterval longer.
+	// peerTimeout is the silence of the peer after which the link takes no new
+	// requests while some are pending; an idle link waits idlePingInterval longer. The
+	// link ends once nothing is at work at either end: a peer that was only paused or
+	// cut off still delivers its responses.
 	peerTimeout = 1200 * time.Millisecond
+	// silentPingInterval is the time between two pings to a silent peer. They fill the
+	// send queue if the connection takes no data.
+	silentPingInterval = time.Second
 	// maxSilencePerTick bounds the silence that one tick counts, so that a process
 	// that was suspended does not end its links when it resumes.
 	maxSilencePerTick = 2 * tickInterval
 	helloTimeout      = 2 * time.Second
 	// unackedTimeout is how long sent data may stay unacknowledged before the kernel
-	// closes the connection.
-	unackedTimeout       = 2 * time.Second
+	// closes the connection. It is longer than the pauses that requests outlive.
+	unackedTimeout       = 15 * time.Second
 	tcpUserTimeoutOption = 18       // TCP_USER_TIMEOUT of Linux
 	maxBodySize          = 64 << 20 // bytes
 	maxPartialRequests   = 64       // requests whose body is being received
 
 	reasonLinkLost  = "link lost"
 	reasonCongested = "link congested"
+	reasonSilent    = "node silent"
 )
 
 // Handler serves the requests that a peer sends over a link. Its fields are functions
@@ -73,12 +79,14 @@
 	signal      func(l *Link, s Signal)
 	members     func(records []registry.Record)
 	snapshot    func(l *Link, s Snapshot)
+	silence     func(l *Link, silent bool)
 	closed      func(l *Link, err error)
 }
 
-// NewHooks returns hooks made of seven functions.
-func NewHooks(hello func(*Link, Hello), serverState func(*Link, ServerState), versions func(*Link, Versions), signal func(*Link, Signal), members func([]registry.Record), snapshot func(*Link, Snapshot), closed func(*Link, error)) Hooks {
-	return Hooks{hello: hello, serverState: serverState, versions: versions, signal: signal, members: members, snapshot: snapshot, closed: closed}
+// NewHooks returns hooks made of eight functions. silence reports that the peer has
+// become silent, and that it is heard again.
+func NewHooks(hello func(*Link, Hello), serverState func(*Link, ServerState), versions func(*Link, Versions), signal func(*Link, Signal), members func([]registry.Record), snapshot func(*Link, Snapshot), silence func(*Link, bool), closed func(*Link, error)) Hooks {
+	return Hooks{hello: hello, serverState: serverState, versions: versions, signal: signal, members: members, snapshot: snapshot, silence: silence, closed: closed}
 }
 
 // PeerTimeoutError reports that nothing was received from a peer for too long.
@@ -106,8 +114,9 @@
 	endpoint        *upstream.Endpoint
 	pending         map[uint64]*pendingRequest
 	partialRequests map[uint64]*partialRequest
-	lastReceivedAt  time.Time
 	silence         time.Duration // time without received messages; see maxSilencePerTick
+	silent          bool          // whether the link takes no new requests; see peerTimeout
+	servingUntil    time.Time     // when the time of all requests of the peer is over
 	lastTickAt      time.Time
 	lastPingAt      time.Time
 }
@@ -117,6 +126,7 @@
 type pendingRequest struct {
 	events     chan<- upstream.Event
 	submitted  bool
+	silent     bool // whether its caller was told that the peer is silent
 	response   *upstream.Event
 	body       []byte
 	bodyLength int
@@ -242,8 +252,7 @@
 func (l *Link) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	l.lastReceivedAt = l.clock.Now()
-	l.lastTickAt = l.lastReceivedAt
+	l.lastTickAt = l.clock.Now()
 	go l.read()
 	go l.write(ctx)
 	ticker := l.clock.NewTicker(tickInterval)
@@ -303,13 +312,16 @@
 		delete(l.pending, *c.cancel)
 		l.enqueue(Encode(Message{cancel: c.cancel}))
 	case c.received != nil:
-		l.lastReceivedAt = l.clock.Now()
-		l.silence = 0
+		l.endSilence()
 		l.handleReceived(c.received)
 	}
 }
 
 func (l *Link) handleReserve(c *reserveCommand) {
+	if l.silent {
+		c.events <- upstream.NewEvent(upstream.Refused, c.number).WithEndpoint(l.endpoint).WithReason(reasonSilent)
+		return
+	}
 	if !l.tryEnqueue(Encode(Message{slotRequest: &numberedSlotRequest{number: c.number, slotRequest: c.slotRequest}})) {
 		c.events <- upstream.NewEvent(upstream.Refused, c.number).WithEndpoint(l.endpoint).WithReason(reasonCongested)
 		return
@@ -331,22 +343,70 @@
 	l.enqueueAll(frames)
 }
 
-// tick sends pings and returns a *PeerTimeoutError when the peer has been silent
-// for too long. Time in which this process did not run does not count.
+// tick sends pings, and handles a peer that has been silent for too long. Time in
+// which this process did not run does not count.
 func (l *Link) tick() error {
 	now := l.clock.Now()
 	l.silence += min(now.Sub(l.lastTickAt), maxSilencePerTick)
 	l.lastTickAt = now
-	pingAfter := idlePingInterval
+	l.pingIfDue(now)
+	if l.silence <= peerTimeout || len(l.pending) == 0 && l.silence <= idlePingInterval+peerTimeout {
+		return nil
+	}
+	l.beginSilence()
+	if len(l.pending) > 0 || now.Before(l.servingUntil) {
+		return nil
+	}
+	return &PeerTimeoutError{node: l.peer, silent: l.silence}
+}
+
+func (l *Link) pingIfDue(now time.Time) {
+	after, interval := idlePingInterval, busyPingInterval
 	if len(l.pending) > 0 {
-		pingAfter = busyPingInterval
+		after = busyPingInterval
+	}
+	if l.silent {
+		interval = silentPingInterval
 	}
-	if l.silence > pingAfter && now.Sub(l.lastPingAt) >= busyPingInterval {
+	if l.silence > after && now.Sub(l.lastPingAt) >= interval {
 		l.lastPingAt = now
 		l.enqueue(Encode(Message{ping: true}))
 	}
-	if l.silence > peerTimeout && (len(l.pending) > 0 || l.silence > idlePingInterval+peerTimeout) {
-		return &PeerTimeoutError{node: l.peer, silent: l.silence}
+}
+
+// beginSilence ends the slot requests to the peer, so that their callers look
+// elsewhere at once, and reports the silence for requests that were submitted. These
+// go on: the peer may be at work on them.
+func (l *Link) beginSilence() {
+	if l.silent {
+		return
+	}
+	l.silent = true
+	for number, r := range l.pending {
+		if r.submitted {
+			l.reportSilence(number, r)
+			continue
+		}
+		delete(l.pending, number)
+		l.enqueue(Encode(Message{withdraw: &number}))
+		r.events <- upstream.NewEvent(upstream.Refused, number).WithEndpoint(l.endpoint).WithReason(reasonSilent)
+	}
+	l.hooks.silence(l, true)
+}
+
+// reportSilence tells the caller of a submitted request, once, that the peer is
+// silent.
+func (l *Link) reportSilence(number uint64, r *pendingRequest) {
+	if !r.silent {
+		r.silent = true
+		r.events <- upstream.NewEvent(upstream.Silent, number).WithEndpoint(l.endpoint)
+	}
+}
+
+func (l *Link) endSilence() {
+	l.silence = 0
+	if l.silent {
+		l.silent = false
+		l.hooks.silence(l, false)
 	}
-	return nil
 }
--- a/lib/link/link_test.go
+++ b/lib/link/link_test.go
@@ -29,6 +29,7 @@
 	submitted    chan *upstream.Request
 	cancelled    chan limiter.Key
 	released     chan uint64
+	silences     chan bool
 	closed       chan error
 	snapshots    chan link.Snapshot
 	signals      chan link.Signal
@@ -45,7 +46,7 @@
 	t.Helper()
 	e := &end{
 		slotRequests: make(chan slotRequest, 8), withdrawn: make(chan limiter.Key, 8), submitted: make(chan *upstream.Request, 8),
-		cancelled: make(chan limiter.Key, 8), released: make(chan uint64, 8), closed: make(chan error, 8), snapshots: make(chan link.Snapshot, 8),
+		cancelled: make(chan limiter.Key, 8), released: make(chan uint64, 8), silences: make(chan bool, 8), closed: make(chan error, 8), snapshots: make(chan link.Snapshot, 8),
 		signals: make(chan link.Signal, 8), members: make(chan []registry.Record, 8),
 	}
 	handler := link.NewHandler(
@@ -59,7 +60,7 @@
 	)
 	hooks := link.NewHooks(func(*link.Link, link.Hello) {}, func(*link.Link, link.ServerState) {}, func(*link.Link, link.Versions) {},
 		func(_ *link.Link, s link.Signal) { e.signals <- s }, func(r []registry.Record) { e.members <- r }, func(_ *link.Link, s link.Snapshot) { e.snapshots <- s },
-		func(_ *link.Link, err error) { e.closed <- err })
+		func(_ *link.Link, silent bool) { e.silences <- silent }, func(_ *link.Link, err error) { e.closed <- err })
 	e.link = link.New(conn, nil, 1, peer, handler, hooks, clockwork.NewRealClock())
 	go e.link.Run(ctx)
 	return e
@@ -190,3 +191,87 @@
 		}
 	})
 }
+
+// TestSilentPeerStillDeliversItsResponse has a peer fall silent while it is at work on
+// a request, as a paused or overloaded host does. The request must not be given up,
+// at either end.
+func TestSilentPeerStillDeliversItsResponse(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { must.NoError(t, listener.Close()) }()
+	dialled, err := net.Dial("tcp", listener.Addr().String())
+	must.NoError(t, err)
+	accepted, err := listener.Accept()
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	gate := &gatedConn{Conn: accepted, open: make(chan chan struct{}, 1)}
+	gate.open <- closedChannel()
+	a, b := newEnd(ctx, t, dialled, "b"), newEnd(ctx, t, gate, "a")
+	submitted, waiting := make(chan upstream.Event, upstream.MaxEvents), make(chan upstream.Event, upstream.MaxEvents)
+	a.link.Endpoint().Reserve(1, upstream.NewSlotRequest("shop", 1), submitted)
+	a.link.Endpoint().Reserve(2, upstream.NewSlotRequest("shop", 1), waiting)
+	request := <-b.slotRequests
+	<-b.slotRequests
+	a.link.Endpoint().Submit(1, upstream.NewRequest("id", "GET", "/", "h", http.Header{}, nil).WithDeadline(time.Now().Add(20*time.Second)))
+	<-b.submitted
+
+	resume := gate.pause()
+	silentSince := time.Now()
+	must.Eq(t, upstream.Silent, (<-submitted).Kind())
+	must.Between(t, time.Second, time.Since(silentSince), 2*time.Second)
+	must.Eq(t, upstream.Refused, (<-waiting).Kind())
+	must.True(t, <-a.silences)
+	late := make(chan upstream.Event, upstream.MaxEvents)
+	a.link.Endpoint().Reserve(3, upstream.NewSlotRequest("shop", 1), late)
+	must.Eq(t, upstream.Refused, (<-late).Kind())
+	time.Sleep(4*time.Second - time.Since(silentSince))
+	request.reply(upstream.NewEvent(upstream.Answered, 1).WithResponse(upstream.NewResponse(200, http.Header{}, []byte("late"))))
+	resume()
+
+	must.Eq(t, "late", string((<-submitted).Response().Body()))
+	must.False(t, <-a.silences)
+	must.Eq(t, uint64(2), (<-b.withdrawn).Number())
+	must.Eq(t, 0, len(b.cancelled))
+	must.Eq(t, 0, len(b.released))
+	must.Eq(t, 0, len(a.closed))
+	a.link.Endpoint().Reserve(4, upstream.NewSlotRequest("shop", 1), late)
+	must.Eq(t, uint64(4), (<-b.slotRequests).key.Number())
+}
+
+// gatedConn is a connection that carries nothing while it is paused.
+type gatedConn struct {
+	net.Conn
+	open chan chan struct{}
+}
+
+func closedChannel() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}
+
+// pause stops reads and writes until resume is called.
+func (c *gatedConn) pause() (resume func()) {
+	<-c.open
+	gate := make(chan struct{})
+	c.open <- gate
+	return func() { close(gate) }
+}
+
+func (c *gatedConn) await() {
+	gate := <-c.open
+	c.open <- gate
+	<-gate
+}
+
+func (c *gatedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.await()
+	return n, err
+}
+
+func (c *gatedConn) Write(b []byte) (int, error) {
+	c.await()
+	return c.Conn.Write(b)
+}
--- a/lib/upstream/upstream.go
+++ b/lib/upstream/upstream.go
@@ -23,8 +23,8 @@
 )
 
 // MaxEvents is the largest number of events that one slot request produces:
-// queued, offered, slowed, and the final one.
-const MaxEvents = 4
+// queued, offered, slowed, silent, and the final one.
+const MaxEvents = 5
 
 // SlotRequest asks the node next to a server to reserve one of the server's
 // slots.
@@ -207,12 +207,17 @@
 	Unknown
 	// Slowed means that the server slowed down while running the request.
 	Slowed
+	// Silent means that nothing is heard any more from the node next to the server.
+	// The request goes on there, and its response may still arrive.
+	Silent
 )
 
 // Final reports whether the event is the last one of its slot request.
-func (k EventKind) Final() bool { return k != Offered && k != Queued && k != Slowed }
+func (k EventKind) Final() bool {
+	return k != Offered && k != Queued && k != Slowed && k != Silent
+}
 
-var kindNames = []string{"offered", "waiting", "refused", "answered", "not-run", "unknown", "slowed"}
+var kindNames = []string{"offered", "waiting", "refused", "answered", "not-run", "unknown", "slowed", "silent"}
 
 // String returns the name of the kind as it appears in logs.
 func (k EventKind) String() string {
