fix(node): what ended before a restart or a pause is not used again

Change: a node tells its peers of a departure before it is acknowledged, and they tell its next process before they send it a configuration; that process writes it to the store. Removals are remembered with their versions, and entries older than the last full read count as removed. Offers end at their time, whoever looks first. After a pause of 2 s the server proxy revokes offers and waits for a health check; a link subtracts a pause from the time left of what it reads just after.

Bounds that stay: the pause of a suspended machine, whose steady clock stands still, is seen only by what peers say and by the next health check.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -63,6 +63,9 @@
 	// unreachableTimeout is how long a member must be unreachable before its entry is
 	// removed.
 	unreachableTimeout = 30 * time.Second
+	// maxFailureAge is how long ago the last failed dial may be when an entry is
+	// removed: the longest pause between two dials, and the dial itself.
+	maxFailureAge = maxRedialDelay + 2*dialTimeout
 	// removalRetryInterval is the time between two attempts to remove an entry.
 	removalRetryInterval = 10 * time.Second
 	// entryGracePeriod is the time after which the entry of a linked node must be
@@ -87,7 +90,7 @@
 	snapshot     func(Snapshot)
 	peers        func([]Peer)
 	nodes        func(count int)
-	departures   func([]registry.Record)
+	departures   func(records []registry.Record, stored bool)
 	register     func(entry registry.Record, exists bool)
 	watch        func(peer string, started bool)
 	entryLost    func()
@@ -100,14 +103,15 @@
 //   - snapshot receives each configuration that is put in force,
 //   - peers receives the nodes that have a link,
 //   - nodes receives the number of members,
-//   - departures receives the records of servers that leave,
+//   - departures receives the records of servers that leave, and whether they come
+//     from the store,
 //   - register receives the entry of this node and whether the store has it
 //     already,
 //   - watch is called when a peer starts or ends a watch of the store,
 //   - entryLost is called when the store no longer has the entry of this node,
 //   - removeMember receives the entry of a member that stays unreachable, to be
 //     removed from the store.
-func NewHooks(decode func([]byte) (*routeconfig.Config, error), snapshot func(Snapshot), peers func([]Peer), nodes func(int), departures func([]registry.Record), register func(entry registry.Record, exists bool), watch func(peer string, started bool), entryLost func(), removeMember func(registry.Record)) Hooks {
+func NewHooks(decode func([]byte) (*routeconfig.Config, error), snapshot func(Snapshot), peers func([]Peer), nodes func(int), departures func(records []registry.Record, stored bool), register func(entry registry.Record, exists bool), watch func(peer string, started bool), entryLost func(), removeMember func(registry.Record)) Hooks {
 	return Hooks{decode: decode, snapshot: snapshot, peers: peers, nodes: nodes, departures: departures, register: register, watch: watch, entryLost: entryLost, removeMember: removeMember}
 }
 
@@ -128,9 +132,12 @@
 	transferBudget byteBudget
 	fetchTimer     <-chan time.Time
 	serverState    link.ServerState
-	members        map[string]Member     // by node
-	dialStates     map[string]*dialState // by node
-	links          map[uint64]*peerLink  // by link id
+	members        map[string]Member          // by node
+	departures     map[string]registry.Record // by node
+	removals       map[string]uint64          // versions at which members were removed, by node
+	readVersion    uint64                     // of the last full read of the store
+	dialStates     map[string]*dialState      // by node
+	links          map[uint64]*peerLink       // by link id
 	lastLinkID     uint64
 	registered     bool
 	dialStopped    bool
@@ -139,12 +146,12 @@
 
 // dialState holds the attempts to dial a member to which there is no link.
 type dialState struct {
-	dialing        bool
-	retryAt        time.Time
-	backoff        time.Duration
-	unlinkedSince  time.Time
-	lastDialFailed bool
-	nextRemovalAt  time.Time
+	dialing       bool
+	retryAt       time.Time
+	backoff       time.Duration
+	unlinkedSince time.Time
+	lastFailureAt time.Time
+	nextRemovalAt time.Time
 }
 
 // peerLink holds a link and the latest messages of its peer.
@@ -170,6 +177,8 @@
 	fetch        *link.Link
 	busy         *link.Link
 	members      []registry.Record
+	departures   []registry.Record
+	departure    *registry.Record
 	snapshot     *snapshotMessage
 	silence      *silenceMessage
 	ended        *linkEnded
@@ -256,7 +265,7 @@
 	f := &Fleet{
 		self: self, hooks: hooks, handler: handler, clock: clock, log: log,
 		inbox: task.NewInbox[message](inboxSize), serverStates: task.NewLatest[link.ServerState](),
-		members: map[string]Member{}, dialStates: map[string]*dialState{}, links: map[uint64]*peerLink{},
+		members: map[string]Member{}, departures: map[string]registry.Record{}, removals: map[string]uint64{}, dialStates: map[string]*dialState{}, links: map[uint64]*peerLink{},
 		serverState: link.NewServerState(self.service, "", false),
 	}
 	configuration, err := charts.Chart("configuration")
@@ -271,6 +280,10 @@
 // ApplyUpdate applies records read from the store.
 func (f *Fleet) ApplyUpdate(u registry.Update) { f.inbox.Send(message{update: &u}) }
 
+// RecordDeparture tells the peers that the server on this host leaves. They tell a
+// later process of this node, in case the store does not have the record by then.
+func (f *Fleet) RecordDeparture(r registry.Record) { f.inbox.Send(message{departure: &r}) }
+
 // SetServerState sends the state of the server on this host to the peers. It never
 // blocks and must not be called concurrently.
 func (f *Fleet) SetServerState(s link.ServerState) { f.serverStates.Put(s) }
@@ -352,6 +365,10 @@
 		f.handleBusy(m.busy)
 	case m.members != nil:
 		f.handleMembers(ctx, m.members)
+	case m.departures != nil:
+		f.handleDepartures(m.departures)
+	case m.departure != nil:
+		f.recordOwnDeparture(*m.departure)
 	case m.snapshot != nil:
 		f.handleSnapshot(m.snapshot)
 	case m.silence != nil:
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -65,7 +65,7 @@
 		return routeconfig.New(uint64(len(text)), nil, nil, routeconfig.DefaultLimits()), nil
 	}
 	hooks := fleet.NewHooks(decode, func(s fleet.Snapshot) { n.snapshots <- s }, func(p []fleet.Peer) { n.peers <- p },
-		func(int) {}, func([]registry.Record) {}, func(r registry.Record, exists bool) { n.entries <- entry{r, exists} }, func(_ string, started bool) { n.watches <- started },
+		func(int) {}, func([]registry.Record, bool) {}, func(r registry.Record, exists bool) { n.entries <- entry{r, exists} }, func(_ string, started bool) { n.watches <- started },
 		func() { n.entryLost <- struct{}{} }, func(r registry.Record) { n.removals <- r })
 	handler := link.NewHandler(func(limiter.Key, upstream.SlotRequest, func(upstream.Event)) {}, func(limiter.Key) {},
 		func(limiter.Key, *upstream.Request) {}, func(limiter.Key) {}, func(uint64) {})
@@ -327,3 +327,33 @@
 		}
 	}
 }
+
+// TestRemovedMemberIsNotAddedByAnOlderMessage guards against a delayed message of a
+// peer that brings back a node that has left.
+func TestRemovedMemberIsNotAddedByAnOlderMessage(t *testing.T) {
+	a, b := newNode(t, "a"), newNode(t, "b")
+	gone, err := fleet.EncodeMember(fleet.NewMember("gone", "127.0.0.1:1", "north", "shop"))
+	must.NoError(t, err)
+	start := []registry.Record{configuration(5, "x"), a.member.WithVersion(1), b.member.WithVersion(2)}
+	a.fleet.ApplyUpdate(registry.NewUpdate(start, 5, true))
+	b.fleet.ApplyUpdate(registry.NewUpdate(start, 5, true))
+	b.awaitPeers(t, func(count int) bool { return count > 0 })
+	a.awaitPeers(t, func(count int) bool { return count > 0 })
+	b.fleet.ApplyUpdate(registry.NewUpdate([]registry.Record{registry.NewRecord(registry.KindMember, "gone", nil).WithVersion(9).AsRemoved()}, 9, false))
+	must.Eq(t, 2, b.fleet.Dump(context.Background()).Members())
+	// The peer forwards entries that the receiver has read as removed, one by one and in
+	// full.
+	a.fleet.ApplyUpdate(registry.NewUpdate([]registry.Record{gone.WithVersion(8)}, 8, false))
+	time.Sleep(200 * time.Millisecond)
+	must.Eq(t, 2, b.fleet.Dump(context.Background()).Members())
+	b.fleet.ApplyUpdate(registry.NewUpdate(start, 20, true))
+	a.fleet.ApplyUpdate(registry.NewUpdate([]registry.Record{gone.WithVersion(19)}, 19, false))
+	time.Sleep(200 * time.Millisecond)
+	must.Eq(t, 2, b.fleet.Dump(context.Background()).Members())
+	a.fleet.ApplyUpdate(registry.NewUpdate([]registry.Record{gone.WithVersion(21)}, 21, false))
+	deadline := time.Now().Add(2 * time.Second)
+	for b.fleet.Dump(context.Background()).Members() != 3 {
+		must.True(t, time.Now().Before(deadline))
+		time.Sleep(5 * time.Millisecond)
+	}
+}
--- a/lib/fleet/links.go
+++ b/lib/fleet/links.go
@@ -76,6 +76,7 @@
 		},
 		f.handleSignal,
 		func(records []registry.Record) { f.inbox.Send(message{members: records}) },
+		func(records []registry.Record) { f.inbox.Send(message{departures: records}) },
 		func(l *link.Link, s link.Snapshot) {
 			f.inbox.Send(message{snapshot: &snapshotMessage{link: l, snapshot: s}})
 		},
@@ -125,8 +126,9 @@
 
 func (f *Fleet) handleDialled(ctx context.Context, d *dialResult) {
 	s := f.dialStateOf(d.node)
-	s.dialing, s.lastDialFailed = false, d.err != nil
+	s.dialing = false
 	if d.err != nil {
+		s.lastFailureAt = f.clock.Now()
 		s.backoff = min(max(2*s.backoff, minRedialDelay), maxRedialDelay)
 		s.retryAt = f.clock.Now().Add(s.backoff/2 + rand.N(s.backoff/2))
 		f.log.Write("link-dial-failed", "peer", d.node, "error", d.err.Error(), "retry_ms", s.backoff.Milliseconds())
@@ -146,6 +148,9 @@
 func (f *Fleet) completeHandshake(p *peerLink, h link.Hello) {
 	p.hello, p.serverState, p.helloReceived = h, h.ServerState(), true
 	f.log.Write("link-up", "peer", h.Node(), "address", h.Address(), "service", h.ServerState().Service(), "open", h.ServerState().Accepting(), "version", h.Versions().Configuration(), "evacuation", h.Versions().Evacuation())
+	if d, ok := f.departures[h.Node()]; ok {
+		p.link.SendDepartures([]registry.Record{d})
+	}
 	f.handleVersions(p.link, h.Versions())
 	f.publishPeers()
 }
@@ -245,9 +250,10 @@
 }
 
 // removeUnreachable requests the removal of the entry of a member that has been
-// unreachable for unreachableTimeout. Only the node that isRemover selects does so.
+// unreachable for unreachableTimeout and still is: a process that was paused has to
+// dial it once more. Only the node that isRemover selects does so.
 func (f *Fleet) removeUnreachable(m Member, s *dialState, now time.Time) {
-	if !s.lastDialFailed || now.Sub(s.unlinkedSince) < unreachableTimeout || now.Before(s.nextRemovalAt) || !f.isRemover(m.node) {
+	if now.Sub(s.lastFailureAt) > maxFailureAge || now.Sub(s.unlinkedSince) < unreachableTimeout || now.Before(s.nextRemovalAt) || !f.isRemover(m.node) {
 		return
 	}
 	s.nextRemovalAt = now.Add(removalRetryInterval)
--- a/lib/fleet/update.go
+++ b/lib/fleet/update.go
@@ -35,7 +35,7 @@
 func (f *Fleet) applyUpdate(ctx context.Context, u registry.Update) {
 	change := snapshotChange{source: "store"}
 	if u.Full() {
-		f.members = map[string]Member{}
+		f.members, f.removals, f.readVersion = map[string]Member{}, map[string]uint64{}, u.Version()
 		change.evacuations = f.endedEvacuations(u)
 	}
 	var departures, members []registry.Record
@@ -64,7 +64,8 @@
 		}
 	}
 	if len(departures) > 0 {
-		f.hooks.departures(departures)
+		f.keepDepartures(departures)
+		f.hooks.departures(departures, true)
 	}
 	f.mergeChange(change)
 	if u.Full() {
@@ -102,6 +103,7 @@
 func (f *Fleet) applyMember(r registry.Record) {
 	if r.Removed() {
 		delete(f.members, r.Name())
+		f.removals[r.Name()] = r.Version()
 		return
 	}
 	m, err := DecodeMember(r)
@@ -155,10 +157,47 @@
 	return peer != member && (!ok || listed.version > f.members[member].readVersion)
 }
 
+// isNews reports whether a record that a peer sends is newer than what this node knows
+// of the member. An entry that was not listed by a later read was removed before it.
+func (f *Fleet) isNews(r registry.Record) bool {
+	if m, listed := f.members[r.Name()]; listed {
+		return r.Version() > m.version
+	}
+	return r.Version() > max(f.removals[r.Name()], f.readVersion)
+}
+
+// keepDepartures keeps the newest departure of each node for its later processes.
+func (f *Fleet) keepDepartures(records []registry.Record) {
+	for _, r := range records {
+		_, startedAt := r.Departure()
+		if known, ok := f.departures[r.Name()]; ok {
+			if _, knownStart := known.Departure(); knownStart > startedAt {
+				continue
+			}
+		}
+		f.departures[r.Name()] = r
+	}
+}
+
+// recordOwnDeparture tells the peers that the server on this host leaves.
+func (f *Fleet) recordOwnDeparture(r registry.Record) {
+	f.keepDepartures([]registry.Record{r})
+	for _, p := range f.links {
+		p.link.SendDepartures([]registry.Record{r})
+	}
+}
+
+// handleDepartures keeps the departures that a peer knows of. Those of this node were
+// acknowledged by an earlier process.
+func (f *Fleet) handleDepartures(records []registry.Record) {
+	f.keepDepartures(records)
+	f.hooks.departures(records, false)
+}
+
 // handleMembers applies changes to member entries that a peer read from the store.
 func (f *Fleet) handleMembers(ctx context.Context, records []registry.Record) {
 	for _, r := range records {
-		if r.Version() > f.members[r.Name()].version {
+		if f.isNews(r) {
 			f.applyMember(r)
 		}
 	}
--- a/lib/httpclient/exchange.go
+++ b/lib/httpclient/exchange.go
@@ -57,6 +57,9 @@
 	return &Result{outcome: NotRun, reason: "the server takes no connection", err: err, dialFailed: true}
 }
 
+// NewNotSent returns the result of a request that was not written at all.
+func NewNotSent(reason string) *Result { return &Result{outcome: NotRun, reason: reason} }
+
 // NewUnknown returns the result of a request that may have been written, and whose
 // response was not received.
 func NewUnknown(reason string, err error) *Result {
--- a/lib/limiter/limiter.go
+++ b/lib/limiter/limiter.go
@@ -250,7 +250,7 @@
 // false if the offer has expired or was withdrawn.
 func (l *Limiter) Start(now time.Time, key Key) bool {
 	rv, ok := l.reservations[key]
-	if !ok || rv.started {
+	if !ok || rv.started || !now.Before(rv.expires) {
 		return false
 	}
 	l.reservations[key] = reservation{started: true}
--- a/lib/limiter/limiter_test.go
+++ b/lib/limiter/limiter_test.go
@@ -201,3 +201,14 @@
 		}
 	})
 }
+
+// TestStart_ExpiredOfferIsNotUsed guards against a paused process that uses an offer
+// before it notices that the offer has expired.
+func TestStart_ExpiredOfferIsNotUsed(t *testing.T) {
+	l := limiter.New(1)
+	must.Eq(t, limiter.Granted, l.Reserve(at(0), key(1), ordinary()).Status())
+	must.False(t, l.Start(at(400), key(1)))
+	must.Eq(t, 1, len(l.Advance(at(401))))
+	l.Reserve(at(500), key(2), ordinary())
+	must.True(t, l.Start(at(899), key(2)))
+}
--- a/lib/link/codec.go
+++ b/lib/link/codec.go
@@ -43,6 +43,7 @@
 	typeSnapshot
 	typeSignal
 	typeMembers
+	typeDepartures
 )
 
 // FrameError reports a frame that cannot be decoded.
@@ -154,17 +155,19 @@
 	case m.signal != noSignal:
 		return newEncoder(typeSignal, 8).varint(1, uint64(m.signal)).frame()
 	case m.members != nil:
-		return encodeMembers(m.members)
+		return encodeRecords(typeMembers, m.members)
+	case m.departures != nil:
+		return encodeRecords(typeDepartures, m.departures)
 	case m.snapshot != nil:
 		return encodeSnapshot(m.snapshot)
 	}
 	return newEncoder(typePing, 0).frame()
 }
 
-// encodeMembers encodes each record as four consecutive fields: name, value,
+// encodeRecords encodes each record as four consecutive fields: name, value,
 // version, and whether it was removed.
-func encodeMembers(records []registry.Record) []byte {
-	e := newEncoder(typeMembers, 160*len(records))
+func encodeRecords(frameType byte, records []registry.Record) []byte {
+	e := newEncoder(frameType, 160*len(records))
 	for _, r := range records {
 		e.bytes(3, []byte(r.Name())).bytes(3, r.Value()).text(3, strconv.FormatUint(r.Version(), 10)).text(3, strconv.FormatBool(r.Removed()))
 	}
--- a/lib/link/decode.go
+++ b/lib/link/decode.go
@@ -127,7 +127,11 @@
 	case typeSignal:
 		return decodeSignal(number)
 	case typeMembers:
-		return decodeMembers(f)
+		records, err := decodeRecords(frameType, registry.KindMember, f)
+		return Message{members: records}, err == nil, err
+	case typeDepartures:
+		records, err := decodeRecords(frameType, registry.KindDeparture, f)
+		return Message{departures: records}, err == nil, err
 	case typeSnapshot:
 		return decodeSnapshot(f)
 	}
@@ -143,20 +147,20 @@
 	return Message{signal: Signal(number)}, true, nil
 }
 
-func decodeMembers(f *fields) (Message, bool, error) {
+func decodeRecords(frameType byte, kind registry.Kind, f *fields) ([]registry.Record, error) {
 	records := make([]registry.Record, 0, len(f.repeated)/4)
 	for i := 0; i+3 < len(f.repeated); i += 4 {
 		version, err := strconv.ParseUint(f.repeated[i+2], 10, 64)
 		if err != nil {
-			return Message{}, false, &FrameError{frameType: typeMembers, reason: err.Error()}
+			return nil, &FrameError{frameType: frameType, reason: err.Error()}
 		}
-		r := registry.NewRecord(registry.KindMember, f.repeated[i], []byte(f.repeated[i+1])).WithVersion(version)
+		r := registry.NewRecord(kind, f.repeated[i], []byte(f.repeated[i+1])).WithVersion(version)
 		if f.repeated[i+3] == "true" {
 			r = r.AsRemoved()
 		}
 		records = append(records, r)
 	}
-	return Message{members: records}, true, nil
+	return records, nil
 }
 
 func decodeSnapshot(f *fields) (Message, bool, error) {
@@ -177,7 +181,7 @@
 	switch frameType {
 	case typeEvent, typeRequest:
 		return 7
-	case typeSnapshot, typeMembers:
+	case typeSnapshot, typeMembers, typeDepartures:
 		return 3
 	}
 	return 0
--- a/lib/link/exchange.go
+++ b/lib/link/exchange.go
@@ -153,6 +153,8 @@
 		l.hooks.signal(l, m.signal)
 	case m.members != nil:
 		l.hooks.members(m.members)
+	case m.departures != nil:
+		l.hooks.departures(m.departures)
 	case m.snapshot != nil:
 		l.hooks.snapshot(l, *m.snapshot)
 	}
@@ -205,7 +207,10 @@
 }
 
 func (l *Link) handleRequest(n *numberedRequest) {
-	deadline := l.clock.Now().Add(n.timeLeft)
+	now := l.clock.Now()
+	// A request that waited here while this process was paused has less time left than
+	// its sender stated.
+	deadline := now.Add(n.timeLeft - l.maxAge(now))
 	if deadline.After(l.servingUntil) {
 		l.servingUntil = deadline
 	}
--- a/lib/link/link.go
+++ b/lib/link/link.go
@@ -40,7 +40,13 @@
 	// maxSilencePerTick bounds the silence that one tick counts, so that a process
 	// that was suspended does not end its links when it resumes.
 	maxSilencePerTick = 2 * tickInterval
-	helloTimeout      = 2 * time.Second
+	// pauseThreshold is the time between two ticks above which this process is taken to
+	// have been paused.
+	pauseThreshold = 500 * time.Millisecond
+	// resumePeriod is how long after a pause the messages are still read that arrived
+	// during it.
+	resumePeriod = 250 * time.Millisecond
+	helloTimeout = 2 * time.Second
 	// unackedTimeout is how long sent data may stay unacknowledged before the kernel
 	// closes the connection. It is longer than the pauses that requests outlive.
 	unackedTimeout       = 15 * time.Second
@@ -78,15 +84,16 @@
 	versions    func(l *Link, v Versions)
 	signal      func(l *Link, s Signal)
 	members     func(records []registry.Record)
+	departures  func(records []registry.Record)
 	snapshot    func(l *Link, s Snapshot)
 	silence     func(l *Link, silent bool)
 	closed      func(l *Link, err error)
 }
 
-// NewHooks returns hooks made of eight functions. silence reports that the peer has
+// NewHooks returns hooks made of nine functions. silence reports that the peer has
 // become silent, and that it is heard again.
-func NewHooks(hello func(*Link, Hello), serverState func(*Link, ServerState), versions func(*Link, Versions), signal func(*Link, Signal), members func([]registry.Record), snapshot func(*Link, Snapshot), silence func(*Link, bool), closed func(*Link, error)) Hooks {
-	return Hooks{hello: hello, serverState: serverState, versions: versions, signal: signal, members: members, snapshot: snapshot, silence: silence, closed: closed}
+func NewHooks(hello func(*Link, Hello), serverState func(*Link, ServerState), versions func(*Link, Versions), signal func(*Link, Signal), members, departures func([]registry.Record), snapshot func(*Link, Snapshot), silence func(*Link, bool), closed func(*Link, error)) Hooks {
+	return Hooks{hello: hello, serverState: serverState, versions: versions, signal: signal, members: members, departures: departures, snapshot: snapshot, silence: silence, closed: closed}
 }
 
 // PeerTimeoutError reports that nothing was received from a peer for too long.
@@ -118,6 +125,8 @@
 	silent          bool          // whether the link takes no new requests; see peerTimeout
 	servingUntil    time.Time     // when the time of all requests of the peer is over
 	lastTickAt      time.Time
+	pause           time.Duration // the last pause of this process
+	resumedAt       time.Time     // the end of that pause
 	lastPingAt      time.Time
 }
 
@@ -221,6 +230,11 @@
 // SendMembers sends changes to member entries.
 func (l *Link) SendMembers(records []registry.Record) { l.enqueue(Encode(Message{members: records})) }
 
+// SendDepartures sends departures of servers.
+func (l *Link) SendDepartures(records []registry.Record) {
+	l.enqueue(Encode(Message{departures: records}))
+}
+
 // SendSnapshot sends the configuration in force.
 func (l *Link) SendSnapshot(s Snapshot) { l.enqueue(Encode(Message{snapshot: &s})) }
 
@@ -347,6 +361,7 @@
 // which this process did not run does not count.
 func (l *Link) tick() error {
 	now := l.clock.Now()
+	l.noticePause(now)
 	l.silence += min(now.Sub(l.lastTickAt), maxSilencePerTick)
 	l.lastTickAt = now
 	l.pingIfDue(now)
@@ -360,6 +375,22 @@
 	return &PeerTimeoutError{node: l.peer, silent: l.silence}
 }
 
+// noticePause records that this process did not run since the last tick.
+func (l *Link) noticePause(now time.Time) {
+	if gap := now.Sub(l.lastTickAt); gap > pauseThreshold {
+		l.pause, l.resumedAt = gap, now
+	}
+}
+
+// maxAge returns how long ago a message that is read now may have arrived.
+func (l *Link) maxAge(now time.Time) time.Duration {
+	l.noticePause(now)
+	if now.Sub(l.resumedAt) < resumePeriod {
+		return l.pause
+	}
+	return 0
+}
+
 func (l *Link) pingIfDue(now time.Time) {
 	after, interval := idlePingInterval, busyPingInterval
 	if len(l.pending) > 0 {
--- a/lib/link/link_test.go
+++ b/lib/link/link_test.go
@@ -34,6 +34,7 @@
 	snapshots    chan link.Snapshot
 	signals      chan link.Signal
 	members      chan []registry.Record
+	departures   chan []registry.Record
 }
 
 type slotRequest struct {
@@ -43,11 +44,16 @@
 }
 
 func newEnd(ctx context.Context, t *testing.T, conn net.Conn, peer string) *end {
+	t.Helper()
+	return newEndWithClock(ctx, t, conn, peer, clockwork.NewRealClock())
+}
+
+func newEndWithClock(ctx context.Context, t *testing.T, conn net.Conn, peer string, clock clockwork.Clock) *end {
 	t.Helper()
 	e := &end{
 		slotRequests: make(chan slotRequest, 8), withdrawn: make(chan limiter.Key, 8), submitted: make(chan *upstream.Request, 8),
 		cancelled: make(chan limiter.Key, 8), released: make(chan uint64, 8), silences: make(chan bool, 8), closed: make(chan error, 8), snapshots: make(chan link.Snapshot, 8),
-		signals: make(chan link.Signal, 8), members: make(chan []registry.Record, 8),
+		signals: make(chan link.Signal, 8), members: make(chan []registry.Record, 8), departures: make(chan []registry.Record, 8),
 	}
 	handler := link.NewHandler(
 		func(k limiter.Key, a upstream.SlotRequest, reply func(upstream.Event)) {
@@ -59,9 +65,9 @@
 		func(id uint64) { e.released <- id },
 	)
 	hooks := link.NewHooks(func(*link.Link, link.Hello) {}, func(*link.Link, link.ServerState) {}, func(*link.Link, link.Versions) {},
-		func(_ *link.Link, s link.Signal) { e.signals <- s }, func(r []registry.Record) { e.members <- r }, func(_ *link.Link, s link.Snapshot) { e.snapshots <- s },
+		func(_ *link.Link, s link.Signal) { e.signals <- s }, func(r []registry.Record) { e.members <- r }, func(r []registry.Record) { e.departures <- r }, func(_ *link.Link, s link.Snapshot) { e.snapshots <- s },
 		func(_ *link.Link, silent bool) { e.silences <- silent }, func(_ *link.Link, err error) { e.closed <- err })
-	e.link = link.New(conn, nil, 1, peer, handler, hooks, clockwork.NewRealClock())
+	e.link = link.New(conn, nil, 1, peer, handler, hooks, clock)
 	go e.link.Run(ctx)
 	return e
 }
@@ -275,3 +281,35 @@
 	c.await()
 	return c.Conn.Write(b)
 }
+
+// TestPausedProcessCountsThePauseAgainstARequest has a request wait at the receiving
+// node while that process is paused for longer than the caller waits.
+func TestPausedProcessCountsThePauseAgainstARequest(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { must.NoError(t, listener.Close()) }()
+	dialled, err := net.Dial("tcp", listener.Addr().String())
+	must.NoError(t, err)
+	accepted, err := listener.Accept()
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	clock := clockwork.NewFakeClock()
+	a, b := newEnd(ctx, t, dialled, "b"), newEndWithClock(ctx, t, accepted, "a", clock)
+	events := make(chan upstream.Event, 2*upstream.MaxEvents)
+	timeLeftAt := func(number uint64) time.Duration {
+		a.link.Endpoint().Reserve(number, upstream.NewSlotRequest("shop", 1), events)
+		<-b.slotRequests
+		a.link.Endpoint().Submit(number, upstream.NewRequest("id", "GET", "/", "h", http.Header{}, nil).WithDeadline(time.Now().Add(time.Second)))
+		return (<-b.submitted).Deadline().Sub(clock.Now())
+	}
+	must.NoError(t, clock.BlockUntilContext(ctx, 1))
+	must.Between(t, 0, timeLeftAt(1), time.Second)
+	clock.Advance(3 * time.Second)
+	must.LessEq(t, -2*time.Second, timeLeftAt(2))
+	for range 10 {
+		clock.Advance(50 * time.Millisecond)
+		time.Sleep(time.Millisecond)
+	}
+	must.Between(t, 0, timeLeftAt(3), time.Second)
+}
--- a/lib/link/message.go
+++ b/lib/link/message.go
@@ -172,6 +172,7 @@
 	versions     *Versions
 	signal       Signal
 	members      []registry.Record
+	departures   []registry.Record
 	snapshot     *Snapshot
 }
 
--- a/lib/registry/registrar.go
+++ b/lib/registry/registrar.go
@@ -43,7 +43,7 @@
 }
 
 // registrarMessage is a closed union; exactly one of register, restoreEntry,
-// departure and removeMember is set.
+// departure and removeMember is set. reply is nil if no server waits.
 type registrarMessage struct {
 	register     *Record
 	exists       bool
@@ -91,6 +91,12 @@
 	return err
 }
 
+// KeepDeparture writes the departure that an earlier process of this node has
+// acknowledged and that the store may lack. It never blocks.
+func (r *Registrar) KeepDeparture(departure Record) {
+	r.inbox.TrySend(registrarMessage{departure: &departure})
+}
+
 // Run handles messages and retries failed writes until ctx ends.
 func (r *Registrar) Run(ctx context.Context) {
 	defer r.inbox.Close()
@@ -133,7 +139,10 @@
 	case m.departure != nil:
 		r.lastDeparture = m.departure
 		r.enqueue(*m.departure)
-		m.reply <- r.writePending(ctx, departureTimeout)
+		err := r.writePending(ctx, departureTimeout)
+		if m.reply != nil {
+			m.reply <- err
+		}
 	case m.removeMember != nil:
 		r.removeMember(ctx, *m.removeMember)
 	}
--- a/lib/serverproxy/health.go
+++ b/lib/serverproxy/health.go
@@ -175,7 +175,7 @@
 		c.closeConn()
 	}
 	if c.conn == nil {
-		conn, err := httpclient.Dial(ctx, hc.address, c.proxy.config.memory)
+		conn, err := c.proxy.config.dial(ctx, hc.address)
 		if err != nil {
 			return &healthResult{expectedInstance: hc.instance, dialFailed: true, err: err}
 		}
--- a/lib/serverproxy/instance.go
+++ b/lib/serverproxy/instance.go
@@ -15,7 +15,7 @@
 	position := p.latest.compare(a)
 	if !p.announced {
 		position = orderOtherInstance
-		if p.instance == a.id {
+		if p.instance == a.id && !p.startedAfterDeparture(a) {
 			position = orderNewer
 		}
 	}
@@ -73,6 +73,13 @@
 	p.drainIfDeparted()
 }
 
+// startedAfterDeparture reports whether an instance of the same ID as a has left
+// before a was started.
+func (p *Proxy) startedAfterDeparture(a Announcement) bool {
+	startedAt, departed := p.departures[a.id]
+	return departed && a.startedAt > startedAt
+}
+
 // drainIfDeparted drains the current instance if its departure is recorded.
 func (p *Proxy) drainIfDeparted() {
 	if startedAt, ok := p.departures[p.instance]; ok && (!p.announced || p.latest.startedAt <= startedAt) {
--- a/lib/serverproxy/proxy.go
+++ b/lib/serverproxy/proxy.go
@@ -23,6 +23,9 @@
 	// tickInterval is how often reservations and queued requests are checked
 	// for expiry.
 	tickInterval = 10 * time.Millisecond
+	// pauseThreshold is the time between two ticks above which this process is taken to
+	// have been paused: what it knows of the server is then out of date.
+	pauseThreshold = 2 * time.Second
 
 	eventAnnounced   chart.Event = "announced"
 	eventSound       chart.Event = "sound"
@@ -46,13 +49,22 @@
 	address    string
 	dataCentre string
 	names      headernames.Set
-	memory     *httpclient.BodyMemory
+	dial       func(ctx context.Context, address string) (*httpclient.Conn, error)
 }
 
 // NewConfig returns the settings of the proxy on node for the server of service
 // at address. The bodies of the server's responses take their memory from memory.
 func NewConfig(node, service, address, dataCentre string, names headernames.Set, memory *httpclient.BodyMemory) Config {
-	return Config{node: node, service: service, address: address, dataCentre: dataCentre, names: names, memory: memory}
+	return Config{node: node, service: service, address: address, dataCentre: dataCentre, names: names}.WithDial(
+		func(ctx context.Context, address string) (*httpclient.Conn, error) {
+			return httpclient.Dial(ctx, address, memory)
+		})
+}
+
+// WithDial returns the settings with another function that connects to the server.
+func (c Config) WithDial(dial func(ctx context.Context, address string) (*httpclient.Conn, error)) Config {
+	c.dial = dial
+	return c
 }
 
 // Snapshot is the part of the current configuration that a proxy uses.
@@ -108,6 +120,7 @@
 	departures  map[string]int64
 	health      healthSchedule
 	meanLatency time.Duration
+	lastTickAt  time.Time
 	onChange    func(ServerState)
 	observer    Observer
 	published   ServerState
@@ -246,10 +259,25 @@
 // one is due.
 func (p *Proxy) tick() {
 	now := p.clock.Now()
+	p.noticePause(now)
+	p.lastTickAt = now
 	p.advanceQueue(now)
 	p.health.checkIfDue(now, p)
 }
 
+// noticePause handles a pause of this process. The offers and slot requests from
+// before it are void, and the server gets requests again after a health check: it may
+// have turned cold, been replaced or left.
+func (p *Proxy) noticePause(now time.Time) {
+	pause := now.Sub(p.lastTickAt)
+	if p.lastTickAt.IsZero() || pause < pauseThreshold {
+		return
+	}
+	p.lastTickAt = now
+	p.log.Write("paused", "lasted_ms", pause.Milliseconds(), "instance", p.instance)
+	p.recheck()
+}
+
 func (p *Proxy) advanceQueue(now time.Time) {
 	if !p.admits() {
 		return
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -113,8 +113,9 @@
 }
 
 func (p *Proxy) handleSubmit(ctx context.Context, m *submitMessage) {
-	pending, ok := p.requests[m.key]
 	now := p.clock.Now()
+	p.noticePause(now)
+	pending, ok := p.requests[m.key]
 	remaining := m.request.Deadline().Sub(now)
 	if !ok {
 		return
@@ -202,12 +203,16 @@
 	})
 	if dialled {
 		var err error
-		if conn, err = httpclient.Dial(ctx, address, p.config.memory); err != nil {
+		if conn, err = p.config.dial(ctx, address); err != nil {
 			p.inbox.Send(message{finished: &finishedMessage{key: key, result: httpclient.NewDialFailure(err), dialled: true}})
 			return
 		}
 	}
 	remaining := r.Deadline().Sub(p.clock.Now())
+	if remaining <= 0 {
+		p.inbox.Send(message{finished: &finishedMessage{key: key, result: httpclient.NewNotSent("its time was over before it was sent"), conn: conn, dialled: dialled}})
+		return
+	}
 	result := conn.Exchange(ctx, p.config.names, instance, r, remaining)
 	if !result.Reusable() {
 		conn = nil
--- a/savorygap-node/internal/links/links.go
+++ b/savorygap-node/internal/links/links.go
@@ -40,10 +40,14 @@
 		},
 		p.Router().SetPeers,
 		p.Router().SetNodeCount,
-		func(departures []registry.Record) {
+		func(departures []registry.Record, stored bool) {
 			for _, d := range departures {
-				if d.Name() == t.Host() {
-					proxy.RecordDeparture(d.Departure())
+				if d.Name() != t.Host() {
+					continue
+				}
+				proxy.RecordDeparture(d.Departure())
+				if !stored {
+					p.Registrar().KeepDeparture(d)
 				}
 			}
 		},
--- a/savorygap-node/internal/servers/servers.go
+++ b/savorygap-node/internal/servers/servers.go
@@ -8,6 +8,7 @@
 
 	"savorygap.example/lib/httpclient"
 	"savorygap.example/lib/link"
+	"savorygap.example/lib/registry"
 	"savorygap.example/lib/serverproxy"
 	"savorygap.example/lib/upstream"
 	"savorygap.example/platform"
@@ -68,10 +69,12 @@
 	return p.Serve(p.Settings().AnnouncementsAddress(), platform.AnnouncementHandler(announce, leave, p.Log()))
 }
 
-// recordDeparture writes to the store that an instance leaves. If the store does not
+// recordDeparture writes to the store, and tells the other nodes, that an instance
+// leaves. If the store does not
 // confirm this in time, the departure is acknowledged nevertheless: this process
 // honours it already, and the registrar repeats the write until it succeeds.
 func recordDeparture(ctx context.Context, p *process.Process, id string, startedAt int64) {
+	p.Fleet().RecordDeparture(registry.NewDeparture(p.Settings().Host(), id, startedAt))
 	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
 	defer cancel()
 	result := "written"
