fix(node): one verdict whichever timer fires first, writes repeated in time, ports that nobody else has

The clock decides now, not the timer (TestServe_TimeOverIsReportedWhicheverNodeNoticesFirst: 502 before, 504 after). - A failed write was repeated after up to 1.5 times a backoff of 1.5 s. A write that begins just before the store returns may take 1 s without a reply, so the next one follows within 0.9 s (TestFailedWriteIsRepeatedInTime: failed before at 1.0 s). - "address already in use" in the pipeline's tests: a port was picked by the kernel, closed and used later. Each test process has a loopback address of its own now, from its process id, with fixed ports.

TestPanicInAnyTask_NodeServesOn, repeated, found a node that did not serve again within 5 s (1 of 2 runs beside load): a panic between two lines left a slot in use for good, or a health check that never ended. Slots are released and checks are ended before anything else is done; who waits for a message that failed is told so; a panic while one is reported no longer escapes.

--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -99,8 +99,8 @@
 	defer r.active.Add(-1)
 	p := &pendingCall{router: r, call: c}
 	defer task.Catch(func(e *task.PanicError) {
-		r.log.WritePanic("call", e)
 		response = p.endAfterPanic(e)
+		r.log.WritePanic("call", e)
 	})
 	machine, err := r.requestChart.NewMachine(chart.Actions{"countAttempt": p.countAttempt, "countNotRun": func() {}, "countRetry": p.countRetry})
 	if err != nil {
@@ -232,7 +232,10 @@
 // or another attempt when it returns true.
 func (p *pendingCall) handleAttemptEnd(ctx context.Context, end upstream.Event, reservations int) (*upstream.Response, bool) {
 	p.reason, p.retryAfter = end.Reason(), end.RetryAfter()
-	if ctx.Err() != nil && end.Kind() != upstream.Answered {
+	// The node beside the server ends the request at the same time as this one. Which
+	// of the two is noticed first says nothing.
+	timeOver := ctx.Err() != nil || !p.router.clock.Now().Before(p.deadline)
+	if timeOver && end.Kind() != upstream.Answered {
 		p.fire(eventUnknown)
 		return p.errorResponse(http.StatusGatewayTimeout, "timeout", "the request took longer than the route or its caller allows"), false
 	}
--- a/lib/dispatch/dispatch_test.go
+++ b/lib/dispatch/dispatch_test.go
@@ -359,3 +359,19 @@
 		must.Eq(t, map[int]int{0: http.StatusOK, 1: http.StatusAccepted}[wantSecond], got.Status(), must.Sprint(path))
 	}
 }
+
+// TestServe_TimeOverIsReportedWhicheverNodeNoticesFirst has the node beside the server
+// end a request at its deadline before the timer of this node has fired.
+func TestServe_TimeOverIsReportedWhicheverNodeNoticesFirst(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	a := newFakeServer("a", "shop", 1)
+	a.finalEvent = func(number uint64) upstream.Event {
+		clock.Advance(400 * time.Millisecond)
+		return endWith(upstream.Unknown)(number)
+	}
+	r := newRouterWith(t, clock, dispatch.NewRetryLimits(0.2, 50, 10*time.Second), a)
+	// The context of the call is an hour from its deadline, since it runs on the clock of
+	// the machine.
+	got := r.Serve(context.Background(), callAt(clock.Now(), "/order/1", "id"))
+	must.Eq(t, http.StatusGatewayTimeout, got.Status())
+}
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -163,8 +163,8 @@
 // Run serves messages until ctx ends.
 func (r *Router) Run(ctx context.Context) {
 	r.inbox.Run(ctx, task.Guard(r.handle, func(m message, e *task.PanicError) {
-		r.log.WritePanic("router", e)
 		m.abandon()
+		r.log.WritePanic("router", e)
 	}))
 }
 
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -327,8 +327,8 @@
 func (f *Fleet) handleNext(ctx context.Context, ticks <-chan time.Time) {
 	var m message
 	defer task.Catch(func(e *task.PanicError) {
-		f.log.WritePanic("fleet", e)
 		m.dump.Abandon()
+		f.log.WritePanic("fleet", e)
 	})
 	select {
 	case <-ctx.Done():
--- a/lib/fleet/links.go
+++ b/lib/fleet/links.go
@@ -45,8 +45,8 @@
 // handshake reads the hello of a peer that opened a connection.
 func (f *Fleet) handshake(conn net.Conn) {
 	defer task.Catch(func(e *task.PanicError) {
-		f.log.WritePanic("handshake", e)
 		_ = conn.Close()
+		f.log.WritePanic("handshake", e)
 	})
 	hello, reader, err := link.ReadHello(conn)
 	if err == nil {
--- a/lib/frontend/conn.go
+++ b/lib/frontend/conn.go
@@ -90,8 +90,8 @@
 }
 
 func (c *conn) logPanic(e *task.PanicError) {
-	c.frontend.log.WritePanic("caller-connection", e)
 	_ = c.raw.Close()
+	c.frontend.log.WritePanic("caller-connection", e)
 }
 
 // closeIdleOnDrain ends the wait for further requests drainIdleTimeout after
@@ -146,8 +146,8 @@
 // is the last one of the connection.
 func (c *conn) readRequest(ctx context.Context) (last bool, err error) {
 	defer task.Catch(func(e *task.PanicError) {
-		c.frontend.log.WritePanic("caller-connection", e)
 		last, err = true, &MalformedRequestError{status: http.StatusServiceUnavailable, reason: e.Error()}
+		c.frontend.log.WritePanic("caller-connection", e)
 	})
 	limits := c.frontend.limits.Load()
 	if err := c.awaitRequest(limits.IdleTimeout()); err != nil {
@@ -229,8 +229,8 @@
 	go func() {
 		defer c.frontend.bufferedBytes.Add(-size)
 		defer task.Catch(func(e *task.PanicError) {
-			c.frontend.log.WritePanic("request", e)
 			response <- upstream.NewResponse(http.StatusBadGateway, http.Header{}, []byte(e.Error()+"\n"))
+			c.frontend.log.WritePanic("request", e)
 		})
 		response <- c.frontend.serve(ctx, call)
 	}()
--- a/lib/registry/registrar.go
+++ b/lib/registry/registrar.go
@@ -17,9 +17,13 @@
 	// departureTimeout bounds the write of a departure. A leaving server gets its
 	// response after the write and accepts none after one second.
 	departureTimeout = 600 * time.Millisecond
-	// maxWriteRetryDelay is the longest backoff of a failed write. Entries must be
-	// back in the store 2 s after an outage.
-	maxWriteRetryDelay = 1500 * time.Millisecond
+	// restoreTimeout is how long after an outage of the store the entries must be back.
+	restoreTimeout = 2 * time.Second
+	// maxWriteRetryDelay is the longest time between two writes. A write may have begun
+	// just before the outage ended and get no reply.
+	maxWriteRetryDelay = restoreTimeout - callTimeout - writeMargin
+	// writeMargin is the time for the write itself.
+	writeMargin        = 100 * time.Millisecond
 	registrarInboxSize = 16 // messages
 )
 
@@ -116,7 +120,7 @@
 		}
 		due = nil
 		if len(r.pending) > 0 {
-			due = r.clock.After(r.backoff/2 + rand.N(r.backoff))
+			due = r.clock.After(r.backoff/2 + rand.N(r.backoff/2))
 		}
 	}
 }
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -159,6 +159,34 @@
 	must.MapEq(t, map[registry.Kind]bool{registry.KindMember: true, registry.KindDeparture: true}, kinds)
 }
 
+// TestFailedWriteIsRepeatedInTime guards against an entry that is back too late: a
+// write that begins just before the store returns may take 1 s without a reply, which
+// leaves 1 s until the next.
+func TestFailedWriteIsRepeatedInTime(t *testing.T) {
+	const writes = 200
+	clock := clockwork.NewFakeClock()
+	attempts := make(chan time.Time, writes)
+	put := func(context.Context, registry.Record) error {
+		attempts <- clock.Now()
+		return errRefused
+	}
+	r := registry.NewRegistrar(registry.NewStore(readEmpty, nil, put, put), clock, "a", func(error) {})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go r.Run(ctx)
+	r.Register(registry.NewRecord(registry.KindMember, "a", []byte("x")), false)
+	last := <-attempts
+	for range writes {
+		must.NoError(t, clock.BlockUntilContext(ctx, 1))
+		for len(attempts) == 0 {
+			must.LessEq(t, time.Second, clock.Since(last))
+			clock.Advance(20 * time.Millisecond)
+			time.Sleep(50 * time.Microsecond)
+		}
+		last = <-attempts
+	}
+}
+
 func TestEntryOfAnEarlierProcessIsKept(t *testing.T) {
 	s := newFakeStore()
 	member := registry.NewRecord(registry.KindMember, "a", []byte("x"))
--- a/lib/serverproxy/health.go
+++ b/lib/serverproxy/health.go
@@ -102,11 +102,11 @@
 	if !ok || service.HealthPath() == "" {
 		return
 	}
-	s.checking = true
 	s.lastCheck = now
 	p.slotLimiter.RecordSent(now)
 	p.observer.healthChecked()
 	s.checks.Put(healthCheck{address: p.latest.address, instance: p.instance, path: service.HealthPath()})
+	s.checking = true
 }
 
 // due reports whether the next health check should be sent.
@@ -165,9 +165,9 @@
 
 func (c *healthChecker) check(ctx context.Context, hc healthCheck) (result *healthResult) {
 	defer task.Catch(func(e *task.PanicError) {
-		c.proxy.log.WritePanic("health-checker", e)
 		c.closeConn()
 		result = &healthResult{expectedInstance: hc.instance, err: e}
+		c.proxy.log.WritePanic("health-checker", e)
 	})
 	ctx, cancel := context.WithTimeout(ctx, healthCheckTimeout)
 	defer cancel()
--- a/lib/serverproxy/instance.go
+++ b/lib/serverproxy/instance.go
@@ -113,8 +113,8 @@
 
 // handleHealthResult applies the outcome of a health check.
 func (p *Proxy) handleHealthResult(r *healthResult) {
-	now := p.clock.Now()
 	p.health.finishCheck(r)
+	now := p.clock.Now()
 	if r.instance != "" && r.instance != p.instance && r.instance != r.expectedInstance {
 		p.discoverInstance(r.instance)
 		return
--- a/lib/serverproxy/messages.go
+++ b/lib/serverproxy/messages.go
@@ -128,9 +128,16 @@
 	}
 }
 
-// abandon ends the wait for the reply to the message, if it has one.
-func (m message) abandon() {
+// endAfterPanic ends the wait for the reply to a message whose handling failed.
+func (p *Proxy) endAfterPanic(m message) {
 	switch {
+	case m.reserve != nil:
+		p.withdraw(m.reserve.key)
+		m.reserve.reply(upstream.NewEvent(upstream.Refused, m.reserve.key.Number()).WithReason("unexpected error"))
+	case m.submit != nil:
+		p.endUnsent(m.submit.key)
+	case m.finished != nil:
+		p.endFinished(m.finished)
 	case m.announce != nil:
 		m.announce.reply.Abandon()
 	case m.leave != nil:
--- a/lib/serverproxy/proxy.go
+++ b/lib/serverproxy/proxy.go
@@ -237,8 +237,8 @@
 	p.health.start(ctx, p)
 	p.publishState()
 	handle := task.Guard(func(m message) { p.handle(ctx, m) }, func(m message, e *task.PanicError) {
+		p.endAfterPanic(m)
 		p.log.WritePanic("server-proxy", e)
-		m.abandon()
 	})
 	tick := task.Guard(func(time.Time) { p.tick() }, func(_ time.Time, e *task.PanicError) { p.log.WritePanic("server-proxy", e) })
 	for {
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -198,8 +198,8 @@
 func (p *Proxy) forward(ctx context.Context, key limiter.Key, conn *httpclient.Conn, r *upstream.Request, instance, address string) {
 	dialled := conn == nil
 	defer task.Catch(func(e *task.PanicError) {
-		p.log.WritePanic("forward", e)
 		p.inbox.Send(message{finished: &finishedMessage{key: key, result: httpclient.NewUnknown("unexpected error", e), dialled: dialled}})
+		p.log.WritePanic("forward", e)
 	})
 	if dialled {
 		var err error
@@ -221,7 +221,6 @@
 }
 
 func (p *Proxy) handleFinished(m *finishedMessage) {
-	now := p.clock.Now()
 	r, ok := p.forwarded[m.key]
 	if !ok {
 		return
@@ -232,16 +231,32 @@
 	p.inFlight.Add(-1)
 	p.slotLimiter.Release(m.key)
 	p.keepIdle(m.conn)
+	now := p.clock.Now()
 	if m.dialled {
 		p.observer.dialled()
 	}
 	p.recordResult(now, m.result, now.Sub(r.started), cancelled)
+	p.endFinished(m)
+	p.logRequest(now, r, m.result, cancelled)
+	p.advanceQueue(now)
+}
+
+// endUnsent reports that a request was not run, unless it was sent.
+func (p *Proxy) endUnsent(key limiter.Key) {
+	pending, ok := p.requests[key]
+	if _, running := p.forwarded[key]; running || !ok {
+		return
+	}
+	p.withdraw(key)
+	pending.reply(upstream.NewEvent(upstream.NotRun, key.Number()).WithReason("unexpected error").WithRetryAfter(minRetryAfter))
+}
+
+// endFinished passes on the outcome of a request whose slot is free already.
+func (p *Proxy) endFinished(m *finishedMessage) {
 	if pending, ok := p.requests[m.key]; ok {
 		delete(p.requests, m.key)
 		pending.reply(p.finalEvent(m.key, m.result))
 	}
-	p.logRequest(now, r, m.result, cancelled)
-	p.advanceQueue(now)
 }
 
 func (p *Proxy) keepIdle(c *httpclient.Conn) {
--- a/lib/task/panic.go
+++ b/lib/task/panic.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log"
 	"runtime/debug"
 )
 
@@ -19,11 +20,19 @@
 func (e *PanicError) Stack() string { return string(e.stack) }
 
 // Catch passes a panic of the calling function to report, if there is one. It must
-// be deferred directly.
+// be deferred directly. If report panics too, only standard error is left to say so.
 func Catch(report func(*PanicError)) {
-	if value := recover(); value != nil {
-		report(&PanicError{value: value, stack: debug.Stack()})
+	value := recover()
+	if value == nil {
+		return
 	}
+	e := &PanicError{value: value, stack: debug.Stack()}
+	defer func() {
+		if second := recover(); second != nil {
+			log.Printf("%v, and while it was reported: %v\n%s", e, second, e.stack)
+		}
+	}()
+	report(e)
 }
 
 // Guard returns a function that handles a message and passes a panic to report.
--- a/lib/task/task_test.go
+++ b/lib/task/task_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -37,3 +38,37 @@
 	}
 	must.Eq(t, 4, <-l.Values())
 }
+
+func TestGuard_TaskGoesOnAfterPanic(t *testing.T) {
+	var handled []int
+	var caught []string
+	handle := task.Guard(func(n int) {
+		if n == 2 {
+			panic("two")
+		}
+		handled = append(handled, n)
+	}, func(n int, e *task.PanicError) {
+		caught = append(caught, fmt.Sprint(n, " ", e.Error()))
+		must.StrContains(t, e.Stack(), "TestGuard_TaskGoesOnAfterPanic")
+		panic("while reporting")
+	})
+	for n := range 4 {
+		handle(n)
+	}
+	must.Eq(t, []int{0, 1, 3}, handled)
+	must.Eq(t, []string{"2 unexpected error: two"}, caught)
+}
+
+func TestReply_AbandonedEndsTheWait(t *testing.T) {
+	abandoned := task.NewReply[int]()
+	abandoned.Abandon()
+	_, ok := abandoned.Wait(context.Background(), nil)
+	must.False(t, ok)
+	answered := task.NewReply[int]()
+	answered <- 7
+	answered.Abandon()
+	n, ok := answered.Wait(context.Background(), nil)
+	must.True(t, ok)
+	must.Eq(t, 7, n)
+	task.Reply[int](nil).Abandon()
+}
--- a/savorygap-node/internal/pipeline/node_test.go
+++ b/savorygap-node/internal/pipeline/node_test.go
@@ -10,7 +10,9 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -51,8 +53,15 @@
 	log          io.Writer
 }
 
+// maxHosts is the largest number of hosts of a cluster.
+const maxHosts = 8
+
+// clusters counts the clusters of this test process.
+var clusters atomic.Int64
+
 // cluster is a store with the hosts that use it.
 type cluster struct {
+	number  int
 	store   *platformtest.Store
 	address string
 	hosts   []*host
@@ -60,7 +69,7 @@
 
 func newCluster(t *testing.T) *cluster {
 	t.Helper()
-	cl := &cluster{store: platformtest.NewStore()}
+	cl := &cluster{number: int(clusters.Add(1)), store: platformtest.NewStore()}
 	address, stop, err := cl.store.Start()
 	must.NoError(t, err)
 	t.Cleanup(stop)
@@ -69,12 +78,17 @@
 	return cl
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer func() { must.NoError(t, listener.Close()) }()
-	return listener.Addr().String()
+// loopback returns an address on loopback that no other test process uses.
+func loopback() string {
+	pid := os.Getpid()
+	return net.IPv4(127, byte(64+pid>>16&0x1f), byte(pid>>8), byte(pid)).String()
+}
+
+// addressOf returns the address of a host's listener. Ports are not picked by
+// the kernel, since another listener may get a picked one before it is used.
+func (cl *cluster) addressOf(host, listener int) string {
+	const firstPort, portsPerHost = 7000, 8
+	return net.JoinHostPort(loopback(), strconv.Itoa(firstPort+portsPerHost*(cl.number*maxHosts+host)+listener))
 }
 
 // addHost starts a host whose server runs service, and waits until all nodes know
@@ -86,8 +100,8 @@
 	stop, err := h.server.Start("127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(stop)
-	for _, name := range []string{"callers", "links", "ready", "announcements", "metrics"} {
-		h.addresses[name] = freeAddress(t)
+	for i, name := range []string{"callers", "links", "ready", "announcements", "metrics"} {
+		h.addresses[name] = cl.addressOf(len(cl.hosts), i)
 	}
 	h.settingsPath = filepath.Join(t.TempDir(), "settings.yaml")
 	must.NoError(t, os.WriteFile(h.settingsPath, fmt.Appendf(nil, `host: %s
