fix(admission): judge slowness against the spread of a class

The mean of about 20 responses was noisy, and with the bypass cheap requests alone set it. What was left then was the queue, full at 2 requests a slot.

Change: a latency is slow above four times the mean and above four deviations; the recent average is compared with two times the mean or four of its own deviations, whichever is higher. Short requests have a baseline of their own. The mean is over about 100 responses. The queue takes 4 a slot; what cannot end in time is still refused at once. TestQueue_IsBounded wants 48 for 24, as exact as before.

TestSoundServerTakesItsSlots failed, and passes.

--- a/lib/admission/controller.go
+++ b/lib/admission/controller.go
@@ -139,10 +139,10 @@
 		return ReasonQueueFull
 	}
 	wait := c.expectedWait(r)
-	if now.Add(wait + c.limiter.expectedLatency(r.class)).After(r.deadline) {
+	if now.Add(wait + c.limiter.expectedLatency(r)).After(r.deadline) {
 		return ReasonDeadline
 	}
-	if r.failFast && wait > max(failFastMinWait, c.limiter.expectedLatency(r.class)/failFastWaitDivisor) {
+	if r.failFast && wait > max(failFastMinWait, c.limiter.expectedLatency(r)/failFastWaitDivisor) {
 		return ReasonBusy
 	}
 	return ReasonNone
@@ -189,7 +189,7 @@
 	}
 	highUse := float64(len(c.inFlight)) >= highUseRatio*c.limiter.limit
 	delete(c.inFlight, id)
-	bad := c.limiter.record(r.request.class, result, latency)
+	bad := c.limiter.record(r.request, result, latency)
 	c.adjustLimit(now, result, bad, highUse)
 	return c.grantQueued(now)
 }
@@ -279,7 +279,7 @@
 func (c *Controller) countStuck(now time.Time) int {
 	n := 0
 	for _, r := range c.inFlight {
-		if now.Sub(r.grantedAt) > c.limiter.stuckThreshold(r.request.class) {
+		if now.Sub(r.grantedAt) > c.limiter.stuckThreshold(r.request) {
 			n++
 		}
 	}
@@ -317,7 +317,7 @@
 // caller of a nested call holds a slot of another server, so nested calls wait
 // for at most maxNestedWait. This resolves cyclic waits between services.
 func (c *Controller) expired(now time.Time, r Request) bool {
-	if now.Add(c.limiter.expectedLatency(r.class)).After(r.deadline) {
+	if now.Add(c.limiter.expectedLatency(r)).After(r.deadline) {
 		return true
 	}
 	return r.depth > 0 && now.Sub(r.submittedAt) > maxNestedWait
--- a/lib/admission/limiter.go
+++ b/lib/admission/limiter.go
@@ -15,11 +15,12 @@
 	slowFactor               = 4.0  // times the baseline latency
 	slowMargin               = 5 * time.Millisecond
 	highLatencyFactor        = 2.0  // times the baseline latency
+	normalSpread             = 4.0  // deviations from the baseline latency that are still normal
 	highLatencyBackoffRatio  = 0.9  // the limit is multiplied by it
 	overloadBackoffRatio     = 0.7  // the limit is multiplied by it
 	highUseRatio             = 0.7  // of the limit in flight; good responses below it do not raise the limit
 	rampUpResponses          = 8    // good responses before a cold server ramps up
-	baselineWeight           = 0.05 // of one ordinary response
+	baselineWeight           = 0.02 // of one ordinary response; the mean of about 100 of them
 	slowBaselineWeight       = 0.01 // of one slow response
 	recentLatencyWeight      = 0.2
 	minIncreaseInterval      = 25 * time.Millisecond
@@ -41,29 +42,45 @@
 	recentFailed       [resultWindow]bool
 	windowIndex        int
 	responses          int
-	baselines          [document.NumClasses]movingAverage
+	baselines          [document.NumClasses]baseline
 	recentLatency      movingAverage
 	recentLatencyRatio movingAverage
 	increaseInterval   time.Duration
 	lastIncrease       time.Time
 }
 
-// movingAverage is an exponentially weighted moving average. Its first
+// recentDeviationRatio is the deviation of a moving average of weight
+// recentLatencyWeight, as a multiple of that of its values.
+var recentDeviationRatio = math.Sqrt(recentLatencyWeight / (2 - recentLatencyWeight))
+
+// baseline holds the usual latency of the requests of a class: of those that are
+// marked as short, and of the others.
+type baseline struct {
+	short movingAverage
+	other movingAverage
+}
+
+// movingAverage is an exponentially weighted moving average and variance. Its first
 // minBaselineSamples values have equal weight.
 type movingAverage struct {
-	value float64
-	count int
+	value    float64
+	variance float64
+	count    int
 }
 
 func (m *movingAverage) add(v, weight float64) {
 	m.count++
 	if m.count <= minBaselineSamples {
-		m.value += (v - m.value) / float64(m.count)
-		return
+		weight = 1 / float64(m.count)
 	}
-	m.value += (v - m.value) * weight
+	difference := v - m.value
+	m.value += difference * weight
+	m.variance = (1 - weight) * (m.variance + weight*difference*difference)
 }
 
+// deviation returns the standard deviation of the values.
+func (m *movingAverage) deviation() float64 { return math.Sqrt(m.variance) }
+
 func newLimiter(slots int) *limiter {
 	floor := math.Max(1, math.Floor(float64(slots)*coldLimitRatio))
 	return &limiter{slots: slots, floor: floor, limit: floor, increaseInterval: minIncreaseInterval}
@@ -82,17 +99,19 @@
 
 // record adds the result of one request and reports whether it was bad: failed,
 // overloaded or much slower than the baseline.
-func (l *limiter) record(class document.Class, result Result, latency time.Duration) bool {
+func (l *limiter) record(r Request, result Result, latency time.Duration) bool {
 	if result == ResultIgnored {
 		return false
 	}
-	base := &l.baselines[class]
+	base := l.baseline(r)
 	seconds := latency.Seconds()
 	slow := l.isSlow(base, latency)
 	if result == ResultSuccess {
 		l.recentLatency.add(seconds, recentLatencyWeight)
 		if base.count > 0 && base.value > 0 {
-			l.recentLatencyRatio.add(seconds/base.value, recentLatencyWeight)
+			// The recent average is compared with the highest one that is normal for the class.
+			normal := max(base.value*highLatencyFactor, base.value+normalSpread*recentDeviationRatio*base.deviation())
+			l.recentLatencyRatio.add(seconds/normal, recentLatencyWeight)
 		}
 		weight := baselineWeight
 		if slow {
@@ -108,14 +127,23 @@
 	return bad
 }
 
-// isSlow reports whether a latency is far above the baseline. It returns false
-// while the baseline has fewer than minBaselineSamples.
+// baseline returns the usual latency of requests like r.
+func (l *limiter) baseline(r Request) *movingAverage {
+	if r.short {
+		return &l.baselines[r.class].short
+	}
+	return &l.baselines[r.class].other
+}
+
+// isSlow reports whether a latency is far above the baseline, and above the spread
+// that is normal for the class, which may mix cheap and long requests. It returns
+// false while the baseline has fewer than minBaselineSamples.
 func (l *limiter) isSlow(base *movingAverage, latency time.Duration) bool {
 	if base.count < minBaselineSamples {
 		return false
 	}
-	threshold := time.Duration(base.value*slowFactor*float64(time.Second)) + slowMargin
-	return latency > threshold
+	normal := max(base.value*slowFactor, base.value+normalSpread*base.deviation())
+	return latency > time.Duration(normal*float64(time.Second))+slowMargin
 }
 
 // shouldCollapse reports whether the recent results show that the server became
@@ -156,13 +184,13 @@
 }
 
 // reduceOnHighLatency lowers the limit while the recent latency is at least
-// highLatencyFactor times the baseline. It reports whether the limit fell by at
+// highLatencyFactor times the baseline and not normal for its spread. It reports whether the limit fell by at
 // least one.
 func (l *limiter) reduceOnHighLatency() bool {
 	if l.responses%highLatencyCheckInterval != 0 || l.recentLatencyRatio.count < minBaselineSamples {
 		return false
 	}
-	if l.recentLatencyRatio.value < highLatencyFactor {
+	if l.recentLatencyRatio.value < 1 {
 		return false
 	}
 	return l.reduce(highLatencyBackoffRatio)
@@ -178,19 +206,19 @@
 
 // stuckThreshold returns the age beyond which a request counts as stuck. While
 // there is no baseline, no request does.
-func (l *limiter) stuckThreshold(class document.Class) time.Duration {
-	base := l.baselines[class]
+func (l *limiter) stuckThreshold(r Request) time.Duration {
+	base := l.baseline(r)
 	if base.count < minBaselineSamples {
 		return math.MaxInt64
 	}
 	return max(minStuckThreshold, time.Duration(base.value*stuckFactor*float64(time.Second)))
 }
 
-// expectedLatency returns the baseline latency of a class, or the recent
-// latency of all classes while the class has no baseline.
-func (l *limiter) expectedLatency(class document.Class) time.Duration {
-	value := l.baselines[class].value
-	if l.baselines[class].count == 0 {
+// expectedLatency returns the baseline latency of requests like r, or the recent
+// latency of all requests while they have no baseline.
+func (l *limiter) expectedLatency(r Request) time.Duration {
+	value := l.baseline(r).value
+	if l.baseline(r).count == 0 {
 		value = l.recentLatency.value
 	}
 	return time.Duration(value * float64(time.Second))
--- a/lib/admission/queue.go
+++ b/lib/admission/queue.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	queueCapacityPerSlot    = 2  // queued requests of each class per slot; nested and top-level calls count separately
+	queueCapacityPerSlot    = 4  // queued requests of each class per slot; nested and top-level calls count separately
 	maxBypasses             = 16 // grants to higher classes, after which the first request of a class goes next
 	maxDepth                = 12 // levels of nested calls; deeper requests count as this deep
 	maxNestedWait           = 100 * time.Millisecond
