perf(link,fleet): an idle link costs a tick a second, and new peers are published together

Cause, at 196 hosts: each node has a link to each of 195 others, and each link woke up ten times a second, 380,000 wake-ups a second for the fleet, whether it carried anything or not. At the start, every hello and every state published all peers again, and the node with the lowest name dialled all others at once. A node that started while the store was away was not dialled again by a peer that had met it but not read its entry.

Change: a link ticks each 100 ms while the peer owes a reply or is at work, else each second; idle links are pinged after 4 s in place of 2 s. What counts is how long the peer owes a reply (1 s), so a dead peer that is asked now and then is found as fast, and a request on a link that was idle for long is not taken for silence. Writers run only while there is something to write. New peers are published 20 ms after the first change, losses at once. A hash of both names says who dials first, 16 at once. A peer is remembered from its hello.

TestPeerThatOnlyIntroducedItselfIsDialledAgain failed before.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -53,12 +53,18 @@
 	// a random source.
 	fetchRetryInterval = 400 * time.Millisecond
 	maxSources         = 8 // peers known to have a newer version
-	// passiveDialDelay is how long a node waits for a member with a lower name to dial
-	// first, so that two nodes usually share one connection.
+	// passiveDialDelay is how long a node waits for a member that dials first, so that
+	// two nodes usually share one connection.
 	passiveDialDelay = time.Second
 	dialTimeout      = 700 * time.Millisecond
-	minRedialDelay   = 200 * time.Millisecond
-	maxRedialDelay   = 2 * time.Second
+	// maxDials bounds the members dialled at once. A node that starts has hundreds to
+	// dial, and each takes memory for a while.
+	maxDials       = 16
+	minRedialDelay = 200 * time.Millisecond
+	maxRedialDelay = 2 * time.Second
+
+	// peersDelay is how long after a change the peers are passed on.
+	peersDelay = 20 * time.Millisecond
 
 	// unreachableTimeout is how long a member must be unreachable before its entry is
 	// removed.
@@ -131,6 +137,7 @@
 	sources        []*link.Link  // links to peers that announced a version newer than the one in force
 	transferBudget byteBudget
 	fetchTimer     <-chan time.Time
+	peersTimer     <-chan time.Time
 	serverState    link.ServerState
 	members        map[string]Member          // by node
 	departures     map[string]registry.Record // by node
@@ -139,6 +146,7 @@
 	dialStates     map[string]*dialState      // by node
 	links          map[uint64]*peerLink       // by link id
 	lastLinkID     uint64
+	dials          int // under way
 	registered     bool
 	dialStopped    bool
 	watchShare     atomic.Uint64 // bits of a float64
@@ -338,6 +346,9 @@
 		f.setServerState(s)
 	case <-f.fetchTimer:
 		f.fetchSnapshot()
+	case <-f.peersTimer:
+		f.peersTimer = nil
+		f.publishPeers()
 	case <-ticks:
 		f.tick(ctx)
 	}
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -357,3 +357,21 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 }
+
+// TestPeerThatOnlyIntroducedItselfIsDialledAgain has the link to a peer end whose entry
+// this node has not read from the store yet, while the store is unavailable.
+func TestPeerThatOnlyIntroducedItselfIsDialledAgain(t *testing.T) {
+	a, b := newNode(t, "a"), newNode(t, "b")
+	b.fleet.ApplyUpdate(registry.NewUpdate([]registry.Record{a.member.WithVersion(1), b.member.WithVersion(2)}, 5, true))
+	a.awaitPeers(t, func(count int) bool { return count == 1 })
+	must.Eq(t, 1, a.fleet.Dump(context.Background()).Members())
+	b.stop()
+	a.awaitPeers(t, func(count int) bool { return count == 0 })
+	listener, err := net.Listen("tcp", b.address)
+	must.NoError(t, err)
+	defer func() { must.NoError(t, listener.Close()) }()
+	must.NoError(t, listener.(*net.TCPListener).SetDeadline(time.Now().Add(5*time.Second)))
+	conn, err := listener.Accept()
+	must.NoError(t, err)
+	must.NoError(t, conn.Close())
+}
--- a/lib/fleet/links.go
+++ b/lib/fleet/links.go
@@ -127,6 +127,8 @@
 func (f *Fleet) handleDialled(ctx context.Context, d *dialResult) {
 	s := f.dialStateOf(d.node)
 	s.dialing = false
+	f.dials--
+	defer f.dialMembers(ctx)
 	if d.err != nil {
 		s.lastFailureAt = f.clock.Now()
 		s.backoff = min(max(2*s.backoff, minRedialDelay), maxRedialDelay)
@@ -148,17 +150,29 @@
 func (f *Fleet) completeHandshake(p *peerLink, h link.Hello) {
 	p.hello, p.serverState, p.helloReceived = h, h.ServerState(), true
 	f.log.Write("link-up", "peer", h.Node(), "address", h.Address(), "service", h.ServerState().Service(), "open", h.ServerState().Accepting(), "version", h.Versions().Configuration(), "evacuation", h.Versions().Evacuation())
+	f.learnMember(h)
 	if d, ok := f.departures[h.Node()]; ok {
 		p.link.SendDepartures([]registry.Record{d})
 	}
 	f.handleVersions(p.link, h.Versions())
-	f.publishPeers()
+	f.schedulePeers()
+}
+
+// learnMember adds a peer that this node has not read from the store yet, so that it
+// is dialled again if its link ends while the store is unavailable. The entry in the
+// store replaces it.
+func (f *Fleet) learnMember(h link.Hello) {
+	_, listed := f.members[h.Node()]
+	if _, removed := f.removals[h.Node()]; listed || removed || h.Address() == "" {
+		return
+	}
+	f.members[h.Node()] = NewMember(h.Node(), h.Address(), h.DataCentre(), h.ServerState().Service())
 }
 
 func (f *Fleet) handleServerState(s *serverStateMessage) {
 	if p, ok := f.links[s.link.ID()]; ok && p.helloReceived {
 		p.serverState = s.serverState
-		f.publishPeers()
+		f.schedulePeers()
 	}
 }
 
@@ -210,6 +224,14 @@
 	f.publishPeers()
 }
 
+// schedulePeers publishes new peers soon. They come in crowds, for example when all
+// nodes start at once, and each publication takes time in proportion to the peers.
+func (f *Fleet) schedulePeers() {
+	if f.peersTimer == nil {
+		f.peersTimer = f.clock.After(peersDelay)
+	}
+}
+
 // publishPeers passes the peers to the hooks and updates the share of watches. Of
 // two links to the same node the newer one is used, and none that is silent.
 func (f *Fleet) publishPeers() {
@@ -256,6 +278,10 @@
 	if now.Sub(s.lastFailureAt) > maxFailureAge || now.Sub(s.unlinkedSince) < unreachableTimeout || now.Before(s.nextRemovalAt) || !f.isRemover(m.node) {
 		return
 	}
+	if m.version == 0 {
+		delete(f.members, m.node)
+		return
+	}
 	s.nextRemovalAt = now.Add(removalRetryInterval)
 	f.log.Write("member-gone", "peer", m.node, "address", m.address, "out_of_reach_ms", now.Sub(s.unlinkedSince).Milliseconds())
 	f.hooks.removeMember(registry.NewRecord(registry.KindMember, m.node, nil).WithVersion(m.version))
@@ -280,6 +306,29 @@
 	if f.dialStopped {
 		return
 	}
+	f.dialMembers(ctx)
+	now := f.clock.Now()
+	for node, s := range f.dialStates {
+		if m, listed := f.members[node]; listed {
+			f.removeUnreachable(m, s, now)
+		} else {
+			delete(f.dialStates, node)
+		}
+	}
+}
+
+// dialsFirst reports whether this node dials the other one first. The hash divides
+// the dials of a fleet evenly among its nodes, and both nodes agree on it.
+func (f *Fleet) dialsFirst(node string) bool {
+	lower, higher := min(f.self.node, node), max(f.self.node, node)
+	return xxhash.Sum64String(lower+"/"+higher)&1 == 0 == (f.self.node == lower)
+}
+
+// dialMembers dials members without a link, maxDials at once.
+func (f *Fleet) dialMembers(ctx context.Context) {
+	if f.dialStopped || f.dials >= maxDials {
+		return
+	}
 	linked := map[string]bool{f.self.node: true}
 	for _, p := range f.links {
 		if !p.silent {
@@ -293,18 +342,13 @@
 			continue
 		}
 		s := f.dialStateOf(node)
-		f.removeUnreachable(m, s, now)
-		if s.dialing || now.Before(s.retryAt) || f.self.node > node && now.Sub(s.unlinkedSince) < passiveDialDelay {
+		if f.dials >= maxDials || s.dialing || now.Before(s.retryAt) || !f.dialsFirst(node) && now.Sub(s.unlinkedSince) < passiveDialDelay {
 			continue
 		}
 		s.dialing = true
+		f.dials++
 		go f.dial(ctx, m)
 	}
-	for node := range f.dialStates {
-		if _, listed := f.members[node]; !listed {
-			delete(f.dialStates, node)
-		}
-	}
 }
 
 func (f *Fleet) dial(ctx context.Context, m Member) {
--- a/lib/fleet/update.go
+++ b/lib/fleet/update.go
@@ -154,7 +154,7 @@
 // member then knows the peer and dials it.
 func (f *Fleet) mayLack(peer, member string) bool {
 	listed, ok := f.members[peer]
-	return peer != member && (!ok || listed.version > f.members[member].readVersion)
+	return peer != member && (!ok || listed.version == 0 || listed.version > f.members[member].readVersion)
 }
 
 // isNews reports whether a record that a peer sends is newer than what this node knows
--- a/lib/link/exchange.go
+++ b/lib/link/exchange.go
@@ -1,8 +1,6 @@
 package link
 
 import (
-	"context"
-
 	"savorygap.example/lib/limiter"
 	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
@@ -36,6 +34,7 @@
 func (l *Link) tryEnqueue(frame []byte) bool {
 	select {
 	case l.sendQueue <- frame:
+		l.startWriter()
 		return true
 	default:
 		return false
@@ -65,6 +64,7 @@
 	for _, frame := range frames {
 		select {
 		case l.sendQueue <- frame:
+			l.startWriter()
 		case <-l.inbox.Done():
 			return
 		}
@@ -92,20 +92,35 @@
 	}
 }
 
-// write writes the queued frames to the connection in batches. An idle link holds no
-// write buffer, since a node has many links.
-func (l *Link) write(ctx context.Context) {
+// startWriter starts the goroutine that writes, unless it runs. An idle link has
+// none, since a node has many links.
+func (l *Link) startWriter() {
+	select {
+	case l.writing <- struct{}{}:
+		go l.write()
+	default:
+	}
+}
+
+// write writes the queued frames to the connection in batches until there are none.
+func (l *Link) write() {
+	defer task.Catch(func(e *task.PanicError) { l.inbox.Send(command{failed: e}) })
 	for {
-		var frame []byte
 		select {
-		case <-ctx.Done():
-			return
-		case frame = <-l.sendQueue:
+		case frame := <-l.sendQueue:
+			if _, err := l.conn.Write(l.batch(frame)); err != nil {
+				l.inbox.Send(command{failed: err})
+				return
+			}
+			continue
+		default:
 		}
-		if _, err := l.conn.Write(l.batch(frame)); err != nil {
-			l.inbox.Send(command{failed: err})
-			return
+		<-l.writing
+		if len(l.sendQueue) > 0 {
+			// A frame was queued before the line above let another goroutine start.
+			l.startWriter()
 		}
+		return
 	}
 }
 
--- a/lib/link/link.go
+++ b/lib/link/link.go
@@ -22,26 +22,31 @@
 	sendQueueSize  = 64       // frames
 	readBufferSize = 2 << 10  // bytes; holds a request with its header fields, without its body
 	maxWriteBatch  = 16 << 10 // bytes
-	tickInterval   = 100 * time.Millisecond
+	// busyTickInterval is the time between two ticks while the peer owes a reply or is
+	// at work on a request.
+	busyTickInterval = 100 * time.Millisecond
+	// idleTickInterval is the time between two ticks of an idle link. It is long, since
+	// a node has a link to each of hundreds of hosts.
+	idleTickInterval = time.Second
 	// busyPingInterval is the silence of the peer after which it is sent a ping while
 	// requests are pending, and the shortest time between two pings.
 	busyPingInterval = 250 * time.Millisecond
 	// idlePingInterval is the silence of the peer after which it is sent a ping while
 	// no request is pending.
-	idlePingInterval = 2 * time.Second
-	// peerTimeout is the silence of the peer after which the link takes no new
-	// requests while some are pending; an idle link waits idlePingInterval longer. The
-	// link ends once nothing is at work at either end: a peer that was only paused or
-	// cut off still delivers its responses.
-	peerTimeout = 1200 * time.Millisecond
+	idlePingInterval = 4 * time.Second
+	// peerTimeout is how long the peer may owe a reply before the link takes no new
+	// requests. The link ends once nothing is at work at either end: a peer that was
+	// only paused or cut off still delivers its responses.
+	peerTimeout = time.Second
 	// silentPingInterval is the time between two pings to a silent peer. They fill the
 	// send queue if the connection takes no data.
 	silentPingInterval = time.Second
-	// maxSilencePerTick bounds the silence that one tick counts, so that a process
-	// that was suspended does not end its links when it resumes.
-	maxSilencePerTick = 2 * tickInterval
-	// pauseThreshold is the time between two ticks above which this process is taken to
-	// have been paused.
+	// maxTickLag bounds how late a tick may be for that time to count as silence of the
+	// peer, so that a process that was suspended does not end its links when it
+	// resumes.
+	maxTickLag = 100 * time.Millisecond
+	// pauseThreshold is how late a tick must be for this process to be taken to have
+	// been paused.
 	pauseThreshold = 500 * time.Millisecond
 	// resumePeriod is how long after a pause the messages are still read that arrived
 	// during it.
@@ -118,12 +123,17 @@
 	clock           clockwork.Clock
 	inbox           *task.Inbox[command]
 	sendQueue       chan []byte
+	writing         chan struct{} // holds an element while a goroutine writes
 	endpoint        *upstream.Endpoint
 	pending         map[uint64]*pendingRequest
 	partialRequests map[uint64]*partialRequest
-	silence         time.Duration // time without received messages; see maxSilencePerTick
+	silence         time.Duration // time without received messages
+	awaitingReply   bool          // whether the peer owes a reply
+	overdue         time.Duration // how long it has owed that reply
 	silent          bool          // whether the link takes no new requests; see peerTimeout
 	servingUntil    time.Time     // when the time of all requests of the peer is over
+	tickTimer       clockwork.Timer
+	tickDelay       time.Duration // time from the last tick to the next
 	lastTickAt      time.Time
 	pause           time.Duration // the last pause of this process
 	resumedAt       time.Time     // the end of that pause
@@ -199,7 +209,7 @@
 	}
 	l := &Link{
 		id: id, conn: conn, reader: reader, peer: peer, handler: handler, hooks: hooks, clock: clock,
-		inbox: task.NewInbox[command](inboxSize), sendQueue: make(chan []byte, sendQueueSize),
+		inbox: task.NewInbox[command](inboxSize), sendQueue: make(chan []byte, sendQueueSize), writing: make(chan struct{}, 1),
 		pending: map[uint64]*pendingRequest{}, partialRequests: map[uint64]*partialRequest{},
 	}
 	l.endpoint = upstream.NewEndpoint(peer, l.sendReserve, l.sendWithdraw, l.sendRequest, l.sendCancel)
@@ -266,12 +276,11 @@
 func (l *Link) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	l.lastTickAt = l.clock.Now()
+	l.lastTickAt, l.tickDelay = l.clock.Now(), idleTickInterval
+	l.tickTimer = l.clock.NewTimer(l.tickDelay)
+	defer l.tickTimer.Stop()
 	go l.read()
-	go l.write(ctx)
-	ticker := l.clock.NewTicker(tickInterval)
-	defer ticker.Stop()
-	err := l.serve(ctx, ticker)
+	err := l.serve(ctx)
 	_ = l.conn.Close()
 	l.inbox.Close()
 	l.endPending()
@@ -280,7 +289,7 @@
 
 // serve handles commands until the link ends, and returns why. A panic ends the
 // link, since the state that it shares with the peer is then in doubt.
-func (l *Link) serve(ctx context.Context, ticker clockwork.Ticker) (err error) {
+func (l *Link) serve(ctx context.Context) (err error) {
 	defer task.Catch(func(e *task.PanicError) { err = e })
 	for {
 		select {
@@ -291,7 +300,7 @@
 				return c.failed
 			}
 			l.handle(c)
-		case <-ticker.Chan():
+		case <-l.tickTimer.Chan():
 			if err := l.tick(); err != nil {
 				return err
 			}
@@ -341,6 +350,7 @@
 		return
 	}
 	l.pending[c.number] = &pendingRequest{events: c.events}
+	l.expectReply()
 }
 
 func (l *Link) handleSubmit(c *submitCommand) {
@@ -357,38 +367,53 @@
 	l.enqueueAll(frames)
 }
 
-// tick sends pings, and handles a peer that has been silent for too long. Time in
-// which this process did not run does not count.
+// tick sends pings, and handles a peer that has owed a reply for too long.
 func (l *Link) tick() error {
 	now := l.clock.Now()
-	l.noticePause(now)
-	l.silence += min(now.Sub(l.lastTickAt), maxSilencePerTick)
-	l.lastTickAt = now
+	l.countSilence(now)
 	l.pingIfDue(now)
-	if l.silence <= peerTimeout || len(l.pending) == 0 && l.silence <= idlePingInterval+peerTimeout {
-		return nil
+	if l.overdue > peerTimeout {
+		l.beginSilence()
+		if len(l.pending) == 0 && !now.Before(l.servingUntil) {
+			return &PeerTimeoutError{node: l.peer, silent: l.silence}
+		}
 	}
-	l.beginSilence()
-	if len(l.pending) > 0 || now.Before(l.servingUntil) {
-		return nil
+	l.scheduleTick()
+	return nil
+}
+
+// countSilence adds the time since the last tick to the silence of the peer. Time in
+// which this process did not run does not count.
+func (l *Link) countSilence(now time.Time) {
+	l.noticePause(now)
+	elapsed := min(now.Sub(l.lastTickAt), l.tickDelay+maxTickLag)
+	l.lastTickAt = now
+	l.silence += elapsed
+	if l.awaitingReply {
+		l.overdue += elapsed
 	}
-	return &PeerTimeoutError{node: l.peer, silent: l.silence}
 }
 
-// noticePause records that this process did not run since the last tick.
-func (l *Link) noticePause(now time.Time) {
-	if gap := now.Sub(l.lastTickAt); gap > pauseThreshold {
-		l.pause, l.resumedAt = gap, now
+func (l *Link) scheduleTick() {
+	l.tickDelay = idleTickInterval
+	if l.awaitingReply || len(l.pending) > 0 {
+		l.tickDelay = busyTickInterval
 	}
+	l.tickTimer.Reset(l.tickDelay)
 }
 
-// maxAge returns how long ago a message that is read now may have arrived.
-func (l *Link) maxAge(now time.Time) time.Duration {
-	l.noticePause(now)
-	if now.Sub(l.resumedAt) < resumePeriod {
-		return l.pause
+// expectReply records that the peer owes a reply to what was just sent.
+func (l *Link) expectReply() {
+	if l.awaitingReply {
+		return
 	}
-	return 0
+	if l.tickDelay == idleTickInterval {
+		now := l.clock.Now()
+		l.countSilence(now)
+		l.awaitingReply = true
+		l.scheduleTick()
+	}
+	l.awaitingReply = true
 }
 
 func (l *Link) pingIfDue(now time.Time) {
@@ -402,9 +427,26 @@
 	if l.silence > after && now.Sub(l.lastPingAt) >= interval {
 		l.lastPingAt = now
 		l.enqueue(Encode(Message{ping: true}))
+		l.awaitingReply = true
+	}
+}
+
+// noticePause records that this process did not run since the last tick.
+func (l *Link) noticePause(now time.Time) {
+	if gap := now.Sub(l.lastTickAt); gap > l.tickDelay+pauseThreshold {
+		l.pause, l.resumedAt = gap, now
 	}
 }
 
+// maxAge returns how long ago a message that is read now may have arrived.
+func (l *Link) maxAge(now time.Time) time.Duration {
+	l.noticePause(now)
+	if now.Sub(l.resumedAt) < resumePeriod {
+		return l.pause
+	}
+	return 0
+}
+
 // beginSilence ends the slot requests to the peer, so that their callers look
 // elsewhere at once, and reports the silence for requests that were submitted. These
 // go on: the peer may be at work on them.
@@ -434,8 +476,9 @@
 	}
 }
 
+// endSilence records that the peer was heard.
 func (l *Link) endSilence() {
-	l.silence = 0
+	l.silence, l.overdue, l.awaitingReply = 0, 0, false
 	if l.silent {
 		l.silent = false
 		l.hooks.silence(l, false)
