--- a/lib/frontend/frontend_test.go
+++ b/lib/frontend/frontend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -286,3 +287,34 @@
 	must.NoError(t, response.Body.Close())
 	must.True(t, response.Close)
 }
+
+func FuzzConnection(f *testing.F) {
+	f.Add(getRequest("1", "") + getRequest("2", "Connection: close\r\n"))
+	f.Add("POST /a/1 HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")
+	f.Add("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nExpect: 100-continue\r\n\r\nab")
+	f.Add("\r\n\r\nGET / HTTP/1.0\r\nHost: a\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		clock := clockwork.NewRealClock()
+		var log bytes.Buffer
+		events := eventlog.New(&log, clock, "host-1")
+		go events.Run(ctx)
+		serve := func(context.Context, dispatch.Call) *upstream.Response { return okResponse("x") }
+		front := frontend.New(frontend.NewConfig(headernames.Default(), "shop", func(string) bool { return false }), serve, 1<<20, clock, events)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		must.NoError(t, err)
+		go front.Run(ctx, listener)
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		must.NoError(t, err)
+		must.NoError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+		_, _ = io.WriteString(conn, text)
+		must.NoError(t, conn.(*net.TCPConn).CloseWrite())
+		_, _ = io.Copy(io.Discard, conn)
+		must.NoError(t, conn.Close())
+		must.NoError(t, listener.Close())
+		cancel()
+		<-events.Done()
+		must.StrNotContains(t, log.String(), `"event":"panic"`)
+	})
+}
