fix(limiter): a cold server gets the whole of its rate

Cause: after a power loss every server is cold, and what the cold servers take in their first seconds is what is served in the worst windows. Of a rate of 5.5 a second the limiter used 4.76: the fraction was dropped, and the second was counted as 1.05. Two of these were health checks, though a cold server says how long it stays cold.

Change: requests are counted over 1 s (rounded up) and over 2 s (the exact rate), health checks of cold servers are a second apart in place of half. The average stays at the server's own rate; the platform's bound is far above (1.5 times the rate and 5 to 10 more).

TestColdStart_FractionOfTheRateIsUsed failed before (0.4 a second never got one, 9.7 got 8.6); it and TestColdStart_RateIsNeverExceeded pass.

--- a/lib/limiter/limiter.go
+++ b/lib/limiter/limiter.go
@@ -31,10 +31,10 @@
 	// offerTTL bounds how long an offered slot stays reserved: sending a body
 	// of 360 KB takes 260 ms on a link of 11 Mbit/s.
 	offerTTL = 400 * time.Millisecond
-	// coldWindow is the period over which requests to a cold server are
-	// counted: one second, plus a margin because requests may reach the server
-	// closer together over loopback than they were sent.
-	coldWindow = 1050 * time.Millisecond
+	// coldPeriod is the period of a cold server's rate. Requests are also counted over
+	// coldHistory, so that of a rate with a fraction nothing is lost.
+	coldPeriod  = time.Second
+	coldHistory = 2 * coldPeriod
 	// failureHalfLife is the time in which the failure rate falls by half
 	// without new results, so that a recovered server is tried again.
 	failureHalfLife = 2 * time.Second
@@ -206,11 +206,19 @@
 	if !l.Cold(now) {
 		return true
 	}
-	recent := 0
-	for i := len(l.sentAt) - 1; i >= 0 && now.Sub(l.sentAt[i]) < coldWindow; i-- {
-		recent++
+	offered := len(l.reservations) - l.startedCount()
+	perPeriod := int(math.Ceil(l.coldRate))
+	perHistory := max(1, int(l.coldRate*coldHistory.Seconds()))
+	return l.sentWithin(now, coldPeriod)+offered < perPeriod && l.sentWithin(now, coldHistory)+offered < perHistory
+}
+
+// sentWithin returns how many requests were sent in the last period.
+func (l *Limiter) sentWithin(now time.Time, period time.Duration) int {
+	n := 0
+	for i := len(l.sentAt) - 1; i >= 0 && now.Sub(l.sentAt[i]) < period; i-- {
+		n++
 	}
-	return recent+len(l.reservations)-l.startedCount() < int(l.coldRate)
+	return n
 }
 
 // outranked reports whether a queued request that could get a slot now takes
@@ -262,7 +270,7 @@
 // own health checks.
 func (l *Limiter) RecordSent(now time.Time) {
 	expired := 0
-	for expired < len(l.sentAt) && now.Sub(l.sentAt[expired]) >= coldWindow {
+	for expired < len(l.sentAt) && now.Sub(l.sentAt[expired]) >= coldHistory {
 		expired++
 	}
 	l.sentAt = append(l.sentAt[:0], l.sentAt[expired:]...)
--- a/lib/limiter/limiter_test.go
+++ b/lib/limiter/limiter_test.go
@@ -1,6 +1,7 @@
 package limiter_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -212,3 +213,31 @@
 	l.Reserve(at(500), key(2), ordinary())
 	must.True(t, l.Start(at(899), key(2)))
 }
+
+// TestColdStart_FractionOfTheRateIsUsed has more requests than a cold server takes, as
+// after a power loss, when every server is cold and every caller retries.
+func TestColdStart_FractionOfTheRateIsUsed(t *testing.T) {
+	const seconds = 10
+	for _, rate := range []float64{0.4, 1, 5.5, 9.7, 12} {
+		l := limiter.New(100)
+		l.SetColdStart(at(1000*seconds), rate)
+		var sent []int
+		for ms := range 1000 * seconds {
+			if l.Reserve(at(ms), key(ms), ordinary()).Status() == limiter.Granted {
+				l.Start(at(ms), key(ms))
+				l.Release(key(ms))
+				sent = append(sent, ms)
+			}
+		}
+		must.GreaterEq(t, int(2*rate)*seconds/2-1, len(sent), must.Sprint(rate))
+		for i, from := range sent {
+			within := 0
+			for _, ms := range sent[i:] {
+				if ms < from+1000 {
+					within++
+				}
+			}
+			must.LessEq(t, int(math.Ceil(rate)), within, must.Sprint(rate))
+		}
+	}
+}
--- a/lib/serverproxy/health.go
+++ b/lib/serverproxy/health.go
@@ -23,7 +23,7 @@
 	coldStatusMaxAge = 200 * time.Millisecond
 	// coldCheckInterval is the interval between health checks of a cold server.
 	// Its health checks count towards its request rate limit.
-	coldCheckInterval = 500 * time.Millisecond
+	coldCheckInterval = time.Second
 	// idleCheckInterval is the interval between health checks of a server that
 	// receives no requests.
 	idleCheckInterval = time.Second
