--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -2,11 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
-	"errors"
-	"math/rand/v2"
 	"net/http"
-	"strconv"
 	"time"
 
 	"savorygap.example/lib/chart"
@@ -159,34 +155,6 @@
 	}
 }
 
-// endWithoutSlot ends a call for which no further slot was found. If an
-// earlier attempt may have run, the caller gets the result of that attempt and
-// is never told that the request was not run.
-func (p *pendingCall) endWithoutSlot() *upstream.Response {
-	switch {
-	case p.failedResponse != nil:
-		p.fire(eventAnswer)
-		p.fire(eventComplete)
-		return p.failedResponse
-	case p.uncertainReason != "":
-		p.reason = p.uncertainReason
-		p.fire(eventUnknown)
-		return p.errorResponse(http.StatusBadGateway, "unknown", "the outcome is not known: "+p.uncertainReason)
-	}
-	p.fire(eventExhausted)
-	return p.refuse()
-}
-
-// endAfterPanic returns the response to a call whose handling failed. The call was
-// not run if no attempt was made.
-func (p *pendingCall) endAfterPanic(e *task.PanicError) *upstream.Response {
-	p.reason = e.Error()
-	if p.attempts > 0 {
-		return p.errorResponse(http.StatusBadGateway, "unknown", "the outcome is not known: "+p.reason)
-	}
-	return p.refuse()
-}
-
 // matchRoute asks the router for the plan of the call.
 func (p *pendingCall) matchRoute(ctx context.Context) error {
 	m := &planMessage{host: p.call.request.Host(), path: p.call.path, reply: task.NewReply[planResult]()}
@@ -303,57 +271,3 @@
 	}
 	return p.spendRetry(ctx)
 }
-
-// reject returns the response to a call for which there is no plan.
-func (p *pendingCall) reject(err error) *upstream.Response {
-	var noRoute *NoRouteError
-	p.reason = err.Error()
-	if errors.As(err, &noRoute) {
-		return p.errorResponse(http.StatusNotFound, "no-route", err.Error())
-	}
-	p.retryAfter = notReadyRetryAfter
-	return p.unavailable()
-}
-
-// refuse returns the response that states that the request was not run and when
-// to retry it.
-func (p *pendingCall) refuse() *upstream.Response {
-	if p.reason == "" {
-		p.reason = "no server"
-	}
-	p.retryAfter = max(p.retryAfter, minRefusedRetryAfter) + rand.N(refusedRetryJitter)
-	return p.unavailable()
-}
-
-// unavailable returns a 503 response with a Retry-After header field.
-func (p *pendingCall) unavailable() *upstream.Response {
-	response := p.errorResponse(http.StatusServiceUnavailable, "not-run", p.reason)
-	response.Header().Set("Retry-After", strconv.FormatFloat(p.retryAfter.Seconds(), 'f', 3, 64))
-	return response
-}
-
-// errorResponse returns an error response that the node itself generates.
-func (p *pendingCall) errorResponse(status int, outcome, reason string) *upstream.Response {
-	body, err := json.Marshal(map[string]string{"outcome": outcome, "reason": reason})
-	if err != nil {
-		p.router.log.Write("encode-failed", "request", p.call.request.ID(), "error", err.Error())
-	}
-	return upstream.NewResponse(status, http.Header{"Content-Type": {"application/json"}}, body)
-}
-
-// logEnd records how the call ended, in the log and for the observer.
-func (p *pendingCall) logEnd(ctx context.Context, response *upstream.Response) {
-	took := p.router.clock.Since(p.call.received)
-	outcome, route := string(p.machine.State()), "none"
-	if errors.Is(ctx.Err(), context.Canceled) {
-		outcome = "caller-left"
-	}
-	if p.plan.route != nil {
-		route = p.plan.route.Name()
-	}
-	p.router.observer.requestEnded(route, outcome, took)
-	p.router.log.Write("request", "request", p.call.request.ID(), "outcome", outcome, "status", response.Status(), "took_ms", took.Milliseconds(),
-		"route", route, "service", p.plan.service, "version", p.plan.version, "node", p.node, "cost", p.cost, "asked", p.serversAsked,
-		"attempts", p.attempts, "waited_ms", p.searchTime.Milliseconds(), "time_left_ms", p.call.timeLeft.Milliseconds(), "nested", p.call.nested,
-		"budget_denied", p.budgetDenied, "hedge", string(p.hedgeCause), "reason", p.reason)
-}
