fix(link): a stated body length takes no memory

Cause, by reading: a link allocated the stated length of a body at once, up to 64 MB for each of 64 requests, so one malformed peer could end the process. Change: 64 KB at first, the rest as it arrives, for requests and responses.

--- a/lib/link/exchange.go
+++ b/lib/link/exchange.go
@@ -198,7 +198,7 @@
 	if e.Kind() == upstream.Answered && bodyLength > 0 {
 		r.response = &e
 		r.bodyLength = min(bodyLength, maxBodySize)
-		r.body = make([]byte, 0, r.bodyLength)
+		r.body = make([]byte, 0, min(r.bodyLength, maxPreallocation))
 		return
 	}
 	if e.Kind().Final() {
@@ -239,7 +239,7 @@
 		l.sendEvent(upstream.NewEvent(upstream.NotRun, n.number).WithReason("too many bodies at once"))
 		return
 	}
-	l.partialRequests[n.number] = &partialRequest{request: r, bodyLength: n.bodyLength, body: make([]byte, 0, n.bodyLength)}
+	l.partialRequests[n.number] = &partialRequest{request: r, bodyLength: n.bodyLength, body: make([]byte, 0, min(n.bodyLength, maxPreallocation))}
 }
 
 func (l *Link) handleRequestPart(p *bodyPart) {
--- a/lib/link/link.go
+++ b/lib/link/link.go
@@ -58,6 +58,8 @@
 	tcpUserTimeoutOption = 18       // TCP_USER_TIMEOUT of Linux
 	maxBodySize          = 64 << 20 // bytes
 	maxPartialRequests   = 64       // requests whose body is being received
+	// maxPreallocation bounds the memory taken for a body before it arrives, in bytes.
+	maxPreallocation = 64 << 10
 
 	reasonLinkLost  = "link lost"
 	reasonCongested = "link congested"
--- a/lib/link/link_test.go
+++ b/lib/link/link_test.go
@@ -4,15 +4,18 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/shoenig/test/must"
+	"google.golang.org/protobuf/encoding/protowire"
 
 	"savorygap.example/lib/limiter"
 	"savorygap.example/lib/link"
@@ -313,3 +316,24 @@
 	}
 	must.Between(t, 0, timeLeftAt(3), time.Second)
 }
+
+// TestStatedBodyLengthTakesNoMemory has a peer state bodies of 64 MB and send none.
+func TestStatedBodyLengthTakesNoMemory(t *testing.T) {
+	const requests, maxHeap = 64, 64 << 20
+	_, b, conns := pair(t)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for n := range uint64(requests) {
+		payload := protowire.AppendVarint(protowire.AppendTag(nil, 1, protowire.VarintType), n+1)
+		payload = protowire.AppendVarint(protowire.AppendTag(payload, 8, protowire.VarintType), 64<<20)
+		frame := append(binary.BigEndian.AppendUint32([]byte{5}, uint32(len(payload))), payload...)
+		_, err := conns[0].Write(frame)
+		must.NoError(t, err)
+	}
+	withdrawal := protowire.AppendVarint(protowire.AppendTag(nil, 1, protowire.VarintType), 1000)
+	_, err := conns[0].Write(append(binary.BigEndian.AppendUint32([]byte{4}, uint32(len(withdrawal))), withdrawal...))
+	must.NoError(t, err)
+	<-b.withdrawn
+	runtime.ReadMemStats(&after)
+	must.LessEq(t, before.TotalAlloc+maxHeap, after.TotalAlloc)
+}
