fix(node): a departure is acknowledged when the peers have been told, not before

Change: the acknowledgement waits until the messages are written to the connections, for 100 ms at most, since one of them may take no data.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -222,9 +222,19 @@
 // ApplyUpdate applies records read from the store.
 func (f *Fleet) ApplyUpdate(u registry.Update) { f.inbox.Send(message{update: &u}) }
 
-// RecordDeparture tells the peers that the server on this host leaves. They tell a
-// later process of this node, in case the store does not have the record by then.
-func (f *Fleet) RecordDeparture(r registry.Record) { f.inbox.Send(message{departure: &r}) }
+// RecordDeparture tells the peers that the server on this host leaves, and waits until
+// the messages are written or ctx ends. They tell a later process of this node, in
+// case the store does not have the record by then.
+func (f *Fleet) RecordDeparture(ctx context.Context, r registry.Record) {
+	m := &departureMessage{record: r, reply: task.NewReply[[]*link.Link]()}
+	if !f.inbox.Send(message{departure: m}) {
+		return
+	}
+	links, _ := m.reply.Wait(ctx, f.inbox.Done())
+	for _, l := range links {
+		l.AwaitSent(ctx)
+	}
+}
 
 // SetServerState sends the state of the server on this host to the peers. It never
 // blocks and must not be called concurrently.
@@ -270,6 +280,9 @@
 	var m message
 	defer task.Catch(func(e *task.PanicError) {
 		m.dump.Abandon()
+		if m.departure != nil {
+			m.departure.reply.Abandon()
+		}
 		f.log.WritePanic("fleet", e)
 	})
 	select {
@@ -313,7 +326,7 @@
 	case m.departures != nil:
 		f.handleDepartures(m.departures)
 	case m.departure != nil:
-		f.recordOwnDeparture(*m.departure)
+		m.departure.reply <- f.recordOwnDeparture(m.departure.record)
 	case m.snapshot != nil:
 		f.handleSnapshot(m.snapshot)
 	case m.silence != nil:
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -24,16 +24,17 @@
 
 // node is a fleet whose hooks pass what they receive to channels.
 type node struct {
-	fleet     *fleet.Fleet
-	address   string
-	member    registry.Record
-	snapshots chan fleet.Snapshot
-	peers     chan []fleet.Peer
-	watches   chan bool
-	entries   chan entry
-	entryLost chan struct{}
-	removals  chan registry.Record
-	stop      context.CancelFunc
+	fleet      *fleet.Fleet
+	address    string
+	member     registry.Record
+	snapshots  chan fleet.Snapshot
+	peers      chan []fleet.Peer
+	watches    chan bool
+	entries    chan entry
+	entryLost  chan struct{}
+	removals   chan registry.Record
+	departures chan []registry.Record
+	stop       context.CancelFunc
 }
 
 // entry holds the arguments of the register hook.
@@ -59,13 +60,13 @@
 	must.NoError(t, err)
 	n := &node{
 		address: listener.Addr().String(), snapshots: make(chan fleet.Snapshot, 64), peers: make(chan []fleet.Peer, 64),
-		watches: make(chan bool, 64), entries: make(chan entry, 4), entryLost: make(chan struct{}, 16), removals: make(chan registry.Record, 16),
+		watches: make(chan bool, 64), entries: make(chan entry, 4), entryLost: make(chan struct{}, 16), removals: make(chan registry.Record, 16), departures: make(chan []registry.Record, 16),
 	}
 	decode := func(text []byte) (*routeconfig.Config, error) {
 		return routeconfig.New(uint64(len(text)), nil, nil, routeconfig.DefaultLimits()), nil
 	}
 	hooks := fleet.NewHooks(decode, func(s fleet.Snapshot) { n.snapshots <- s }, func(p []fleet.Peer) { n.peers <- p },
-		func(int) {}, func([]registry.Record, bool) {}, func(r registry.Record, exists bool) { n.entries <- entry{r, exists} }, func(_ string, started bool) { n.watches <- started },
+		func(int) {}, func(d []registry.Record, _ bool) { n.departures <- d }, func(r registry.Record, exists bool) { n.entries <- entry{r, exists} }, func(_ string, started bool) { n.watches <- started },
 		func() { n.entryLost <- struct{}{} }, func(r registry.Record) { n.removals <- r })
 	handler := link.NewHandler(func(limiter.Key, upstream.SlotRequest, func(upstream.Event)) {}, func(limiter.Key) {},
 		func(limiter.Key, *upstream.Request) {}, func(limiter.Key) {}, func(uint64) {})
@@ -378,3 +379,29 @@
 	must.NoError(t, err)
 	must.NoError(t, again.Close())
 }
+
+// TestDepartureIsToldBeforeTheProcessEnds has a process end right after it has
+// acknowledged that its server leaves, and another start on the host.
+func TestDepartureIsToldBeforeTheProcessEnds(t *testing.T) {
+	for range 4 {
+		a, b := newNode(t, "a"), newNode(t, "b")
+		start := []registry.Record{a.member.WithVersion(1), b.member.WithVersion(2)}
+		a.fleet.ApplyUpdate(registry.NewUpdate(start, 5, true))
+		b.fleet.ApplyUpdate(registry.NewUpdate(start, 5, true))
+		b.awaitPeers(t, func(count int) bool { return count == 1 })
+		b.fleet.RecordDeparture(context.Background(), registry.NewDeparture("b", "i-b", 7))
+		b.stop()
+		next := newNode(t, "b")
+		next.fleet.ApplyUpdate(registry.NewUpdate([]registry.Record{a.member.WithVersion(1)}, 0, false))
+		select {
+		case d := <-next.departures:
+			instance, startedAt := d[0].Departure()
+			must.Eq(t, "i-b", instance)
+			must.Eq(t, int64(7), startedAt)
+		case <-time.After(5 * time.Second):
+			t.Fatal("the next process was not told of the departure")
+		}
+		a.stop()
+		next.stop()
+	}
+}
--- a/lib/fleet/messages.go
+++ b/lib/fleet/messages.go
@@ -22,7 +22,7 @@
 	busy         *link.Link
 	members      []registry.Record
 	departures   []registry.Record
-	departure    *registry.Record
+	departure    *departureMessage
 	snapshot     *snapshotMessage
 	silence      *silenceMessage
 	ended        *linkEnded
@@ -62,6 +62,13 @@
 	snapshot link.Snapshot
 }
 
+// departureMessage is the departure of the server on this host. The reply holds the
+// links over which the peers are told.
+type departureMessage struct {
+	record registry.Record
+	reply  task.Reply[[]*link.Link]
+}
+
 // silenceMessage reports that the peer of a link has become silent, or is heard
 // again.
 type silenceMessage struct {
--- a/lib/fleet/update.go
+++ b/lib/fleet/update.go
@@ -179,12 +179,18 @@
 	}
 }
 
-// recordOwnDeparture tells the peers that the server on this host leaves.
-func (f *Fleet) recordOwnDeparture(r registry.Record) {
+// recordOwnDeparture tells the peers that the server on this host leaves, and returns
+// the links to those that are heard.
+func (f *Fleet) recordOwnDeparture(r registry.Record) []*link.Link {
 	f.keepDepartures([]registry.Record{r})
+	var heard []*link.Link
 	for _, p := range f.links {
 		p.link.SendDepartures([]registry.Record{r})
+		if !p.silent {
+			heard = append(heard, p.link)
+		}
 	}
+	return heard
 }
 
 // handleDepartures keeps the departures that a peer knows of. Those of this node were
--- a/lib/link/exchange.go
+++ b/lib/link/exchange.go
@@ -1,6 +1,8 @@
 package link
 
 import (
+	"context"
+
 	"savorygap.example/lib/limiter"
 	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
@@ -102,6 +104,26 @@
 	}
 }
 
+// AwaitSent waits until everything that was queued before is written to the
+// connection, the link ends or ctx ends.
+func (l *Link) AwaitSent(ctx context.Context) {
+	for {
+		select {
+		case l.writing <- struct{}{}:
+		case <-l.inbox.Done():
+			return
+		case <-ctx.Done():
+			return
+		}
+		// No goroutine writes now.
+		<-l.writing
+		if len(l.sendQueue) == 0 {
+			return
+		}
+		l.startWriter()
+	}
+}
+
 // write writes the queued frames to the connection in batches until there are none.
 func (l *Link) write() {
 	defer task.Catch(func(e *task.PanicError) { l.inbox.Send(command{failed: e}) })
--- a/savorygap-node/internal/servers/servers.go
+++ b/savorygap-node/internal/servers/servers.go
@@ -20,6 +20,10 @@
 // for the store. Servers ignore one that takes longer than a second.
 const departureTimeout = 700 * time.Millisecond
 
+// peersTimeout limits how long of that the messages to the peers may take, since one
+// of their connections may take no data.
+const peersTimeout = 100 * time.Millisecond
+
 // String returns the name of the step.
 func String() string { return "servers" }
 
@@ -74,9 +78,11 @@
 // confirm this in time, the departure is acknowledged nevertheless: this process
 // honours it already, and the registrar repeats the write until it succeeds.
 func recordDeparture(ctx context.Context, p *process.Process, id string, startedAt int64) {
-	p.Fleet().RecordDeparture(registry.NewDeparture(p.Settings().Host(), id, startedAt))
 	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
 	defer cancel()
+	tell, told := context.WithTimeout(ctx, peersTimeout)
+	p.Fleet().RecordDeparture(tell, registry.NewDeparture(p.Settings().Host(), id, startedAt))
+	told()
 	result := "written"
 	if err := p.Registrar().RecordDeparture(ctx, id, startedAt); err != nil {
 		result = "not written yet: " + err.Error()
