--- a/lib/limiter/limiter.go
+++ b/lib/limiter/limiter.go
@@ -32,9 +32,12 @@
 	// of 360 KB takes 260 ms on a link of 11 Mbit/s.
 	offerTTL = 400 * time.Millisecond
 	// coldPeriod is the period of a cold server's rate. Requests are also counted over
-	// coldHistory, so that of a rate with a fraction nothing is lost.
+	// coldHistory, so that the fraction of a rate is not lost.
 	coldPeriod  = time.Second
 	coldHistory = 2 * coldPeriod
+	// coldMargin is added to both, because requests may reach the server closer
+	// together over loopback than they were sent.
+	coldMargin = 50 * time.Millisecond
 	// failureHalfLife is the time in which the failure rate falls by half
 	// without new results, so that a recovered server is tried again.
 	failureHalfLife = 2 * time.Second
@@ -209,7 +212,7 @@
 	offered := len(l.reservations) - l.startedCount()
 	perPeriod := int(math.Ceil(l.coldRate))
 	perHistory := max(1, int(l.coldRate*coldHistory.Seconds()))
-	return l.sentWithin(now, coldPeriod)+offered < perPeriod && l.sentWithin(now, coldHistory)+offered < perHistory
+	return l.sentWithin(now, coldPeriod+coldMargin)+offered < perPeriod && l.sentWithin(now, coldHistory+coldMargin)+offered < perHistory
 }
 
 // sentWithin returns how many requests were sent in the last period.
@@ -270,7 +273,7 @@
 // own health checks.
 func (l *Limiter) RecordSent(now time.Time) {
 	expired := 0
-	for expired < len(l.sentAt) && now.Sub(l.sentAt[expired]) >= coldHistory {
+	for expired < len(l.sentAt) && now.Sub(l.sentAt[expired]) >= coldHistory+coldMargin {
 		expired++
 	}
 	l.sentAt = append(l.sentAt[:0], l.sentAt[expired:]...)
