--- a/lib/link/link_test.go
+++ b/lib/link/link_test.go
@@ -75,16 +75,23 @@
 	return e
 }
 
-// pair returns the two ends of a link and their connections.
-func pair(t *testing.T) (a, b *end, conns [2]net.Conn) {
+// connect returns the two ends of a connection.
+func connect(t *testing.T) (dialled, accepted net.Conn) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	defer func() { must.NoError(t, listener.Close()) }()
-	dialled, err := net.Dial("tcp", listener.Addr().String())
+	dialled, err = net.Dial("tcp", listener.Addr().String())
 	must.NoError(t, err)
-	accepted, err := listener.Accept()
+	accepted, err = listener.Accept()
 	must.NoError(t, err)
+	return dialled, accepted
+}
+
+// pair returns the two ends of a link and their connections.
+func pair(t *testing.T) (a, b *end, conns [2]net.Conn) {
+	t.Helper()
+	dialled, accepted := connect(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	return newEnd(ctx, t, dialled, "b"), newEnd(ctx, t, accepted, "a"), [2]net.Conn{dialled, accepted}
@@ -205,13 +212,7 @@
 // a request, as a paused or overloaded host does. The request must not be given up,
 // at either end.
 func TestSilentPeerStillDeliversItsResponse(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer func() { must.NoError(t, listener.Close()) }()
-	dialled, err := net.Dial("tcp", listener.Addr().String())
-	must.NoError(t, err)
-	accepted, err := listener.Accept()
-	must.NoError(t, err)
+	dialled, accepted := connect(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	gate := &gatedConn{Conn: accepted, open: make(chan chan struct{}, 1)}
@@ -288,13 +289,7 @@
 // TestPausedProcessCountsThePauseAgainstARequest has a request wait at the receiving
 // node while that process is paused for longer than the caller waits.
 func TestPausedProcessCountsThePauseAgainstARequest(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer func() { must.NoError(t, listener.Close()) }()
-	dialled, err := net.Dial("tcp", listener.Addr().String())
-	must.NoError(t, err)
-	accepted, err := listener.Accept()
-	must.NoError(t, err)
+	dialled, accepted := connect(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	clock := clockwork.NewFakeClock()
