feat(serverproxy): log and measure the rate limit that a server states

Cause: the logs of the LIMIT incident can't distinguish its hypotheses: a health check leaves no line, and no line tells what the server asked for. Change: httpclient reads the limit and whether the server leaves from whole responses of the instance that was addressed; rate-limit, rate-limited-server (once a second) and rate-limit-unreadable lines, a gauge, a field of the state. Nothing acts on it yet.

--- a/lib/headernames/headernames.go
+++ b/lib/headernames/headernames.go
@@ -23,6 +23,8 @@
 	instanceID       string
 	coldRemaining    string
 	originService    string
+	rateLimit        string
+	leaving          string
 }
 
 // Default returns the names used where the platform defines none.
@@ -30,6 +32,7 @@
 	return Set{
 		attemptID: "X-Request-Id", timeout: "X-Timeout-Ms", expectedInstance: "X-Expect-Server", notRun: "X-Not-Run",
 		signature: "X-Server-Signature", load: "X-Server-Load", instanceID: "X-Server-Id", coldRemaining: "X-Cold-Ms", originService: "X-Origin-Service",
+		rateLimit: "X-Rate-Limit", leaving: "X-Leaving",
 	}
 }
 
@@ -95,6 +98,20 @@
 	return s
 }
 
+// WithRateLimit returns the set with the field that holds how many requests per
+// second the server takes from all nodes together, as a decimal number.
+func (s Set) WithRateLimit(name string) Set {
+	s.rateLimit = http.CanonicalHeaderKey(name)
+	return s
+}
+
+// WithLeaving returns the set with the field by which a server states that it is
+// about to leave.
+func (s Set) WithLeaving(name string) Set {
+	s.leaving = http.CanonicalHeaderKey(name)
+	return s
+}
+
 // AttemptID returns the field that identifies one attempt of a caller.
 func (s Set) AttemptID() string { return s.attemptID }
 
@@ -128,3 +145,10 @@
 // OriginService returns the field that holds the service on the host where the
 // request was made.
 func (s Set) OriginService() string { return s.originService }
+
+// RateLimit returns the field that holds how many requests per second the server
+// takes.
+func (s Set) RateLimit() string { return s.rateLimit }
+
+// Leaving returns the field by which a server states that it is about to leave.
+func (s Set) Leaving() string { return s.leaving }
--- a/lib/httpclient/exchange.go
+++ b/lib/httpclient/exchange.go
@@ -47,6 +47,7 @@
 	hasReport     bool
 	coldRemaining time.Duration
 	instance      string
+	advisory      *Advisory
 	reusable      bool
 	dialFailed    bool
 }
@@ -91,6 +92,15 @@
 // Instance returns the instance ID in the response, if any.
 func (r *Result) Instance() string { return r.instance }
 
+// Advisory returns what the server asks of those that send it requests. It reports
+// false unless the complete response arrived from the instance that was addressed.
+func (r *Result) Advisory() (Advisory, bool) {
+	if r.advisory == nil {
+		return Advisory{}, false
+	}
+	return *r.advisory, true
+}
+
 // Reusable reports whether the connection can be used for another exchange.
 func (r *Result) Reusable() bool { return r.reusable }
 
@@ -138,6 +148,10 @@
 	}
 	result.reusable = c.prepareReuse(response, sent) && ctx.Err() == nil
 	result.classify(names, request, response, body)
+	if result.outcome != Unknown && response.StatusCode != http.StatusMisdirectedRequest {
+		advisory := parseAdvisory(names, response.Header)
+		result.advisory = &advisory
+	}
 	c.recordRequest(request.ID())
 	if !result.reusable {
 		c.Close()
--- a/lib/serverproxy/health.go
+++ b/lib/serverproxy/health.go
@@ -48,14 +48,18 @@
 	hasReport        bool
 	coldRemaining    time.Duration
 	dialFailed       bool
+	generation       uint64
+	advisory         httpclient.Advisory
+	hasAdvisory      bool
 	err              error
 }
 
 // healthCheck describes one health check to perform.
 type healthCheck struct {
-	address  string
-	instance string
-	path     string
+	address    string
+	instance   string
+	path       string
+	generation uint64
 }
 
 // healthSchedule decides when health checks are due. It belongs to the proxy's
@@ -104,8 +108,9 @@
 	}
 	s.lastCheck = now
 	p.slotLimiter.RecordSent(now)
+	p.stated.healthChecks++
 	p.observer.healthChecked()
-	s.checks.Put(healthCheck{address: p.latest.address, instance: p.instance, path: service.HealthPath()})
+	s.checks.Put(healthCheck{address: p.latest.address, instance: p.instance, path: service.HealthPath(), generation: p.generation})
 	s.checking = true
 }
 
@@ -187,7 +192,8 @@
 	if !exchange.Reusable() {
 		c.conn = nil
 	}
-	r := &healthResult{expectedInstance: hc.instance, instance: exchange.Instance(), coldRemaining: exchange.ColdRemaining(), err: exchange.Err()}
+	r := &healthResult{expectedInstance: hc.instance, instance: exchange.Instance(), coldRemaining: exchange.ColdRemaining(), generation: hc.generation, err: exchange.Err()}
+	r.advisory, r.hasAdvisory = exchange.Advisory()
 	r.report, r.hasReport = exchange.LoadReport()
 	r.responded = exchange.Response() != nil
 	r.healthy = r.responded && exchange.Response().Status() == http.StatusOK
--- a/lib/serverproxy/instance.go
+++ b/lib/serverproxy/instance.go
@@ -119,6 +119,9 @@
 		p.discoverInstance(r.instance)
 		return
 	}
+	if r.hasAdvisory {
+		p.handleAdvisory(now, sourceHealthCheck, r.generation, r.advisory)
+	}
 	if r.err != nil {
 		p.handleFailedCheck(now, r)
 		return
--- a/lib/serverproxy/messages.go
+++ b/lib/serverproxy/messages.go
@@ -70,6 +70,7 @@
 	queueLen        int
 	idleConnections int
 	slowness        float64
+	rateLimit       float64
 }
 
 // State returns the state of the server's chart.
@@ -97,6 +98,10 @@
 // latency.
 func (d Dump) Slowness() float64 { return d.slowness }
 
+// RateLimit returns how many requests per second the server takes, or 0 if it states
+// no limit.
+func (d Dump) RateLimit() float64 { return d.rateLimit }
+
 func (p *Proxy) handle(ctx context.Context, m message) {
 	switch {
 	case m.reserve != nil:
@@ -150,6 +155,7 @@
 	return Dump{
 		state: string(p.lifecycle.State()), dataCentre: string(p.dataCentre.State()), instance: p.instance,
 		slots: p.slotLimiter.Slots(), inUse: p.slotLimiter.InUse(), queueLen: p.slotLimiter.QueueLen(), idleConnections: len(p.idleConns), slowness: p.slotLimiter.Slowness(),
+		rateLimit: p.stated.perSecond,
 	}
 }
 
--- a/lib/serverproxy/proxy.go
+++ b/lib/serverproxy/proxy.go
@@ -117,8 +117,12 @@
 	inFlight  atomic.Int64
 	idleConns []*httpclient.Conn
 	// departures maps the IDs of departing instances to their start times.
-	departures  map[string]int64
-	health      healthSchedule
+	departures map[string]int64
+	health     healthSchedule
+	stated     statedLimit
+	// generation counts the instances that this node has known, so that a response is
+	// attributed to the instance that sent it.
+	generation  uint64
 	meanLatency time.Duration
 	lastTickAt  time.Time
 	onChange    func(ServerState)
@@ -193,6 +197,8 @@
 func (p *Proxy) reset() {
 	p.denyPending()
 	p.slotLimiter = limiter.New(p.maxConcurrent())
+	p.generation++
+	p.stated.set(p.clock.Now(), 0, false)
 	p.closeIdleConns()
 	p.health.resetState()
 }
@@ -263,6 +269,7 @@
 	p.lastTickAt = now
 	p.advanceQueue(now)
 	p.health.checkIfDue(now, p)
+	p.logSendRate(now)
 }
 
 // noticePause handles a pause of this process. The offers and slot requests from
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -44,6 +44,7 @@
 	cancel          context.CancelFunc
 	started         time.Time
 	slownessAtStart float64
+	generation      uint64
 	notified        bool
 }
 
@@ -127,7 +128,8 @@
 	}
 	requestCtx, cancel := context.WithDeadline(ctx, m.request.Deadline())
 	p.inFlight.Add(1)
-	p.forwarded[m.key] = &forwardedRequest{request: m.request, cancel: cancel, started: now, slownessAtStart: p.slotLimiter.Slowness()}
+	p.forwarded[m.key] = &forwardedRequest{request: m.request, cancel: cancel, started: now, slownessAtStart: p.slotLimiter.Slowness(), generation: p.generation}
+	p.stated.requests++
 	conn := p.takeIdleConn(now, m.request)
 	if conn == nil {
 		p.evictIdleConn()
@@ -178,6 +180,9 @@
 	if m.dialled {
 		p.observer.dialled()
 	}
+	if a, ok := m.result.Advisory(); ok {
+		p.handleAdvisory(now, sourceRequest, r.generation, a)
+	}
 	p.recordResult(now, m.result, now.Sub(r.started), cancelled)
 	p.endFinished(m)
 	p.logRequest(now, r, m.result, cancelled)
--- a/savorygap-node/internal/local/dump.go
+++ b/savorygap-node/internal/local/dump.go
@@ -26,6 +26,7 @@
 	Queued          int     `json:"inLine"`
 	IdleConnections int     `json:"idleConnections"`
 	Slowness        float64 `json:"slowness"`
+	RateLimit       float64 `json:"rateLimit"`
 }
 
 type configurationJSON struct {
@@ -43,6 +44,7 @@
 		Server: serverJSON{
 			State: s.State(), DataCentre: s.DataCentre(), Instance: s.Instance(), Slots: s.Slots(),
 			InUse: s.InUse(), Queued: s.QueueLen(), IdleConnections: s.IdleConnections(), Slowness: s.Slowness(),
+			RateLimit: s.RateLimit(),
 		},
 		Configuration: configurationJSON{State: f.State(), Version: f.Version(), Evacuated: f.Evacuated(), Members: f.Members(), Links: f.Links()},
 		OpenServers:   r.Servers(), RetryTokens: r.RetryTokens(), ActiveRequests: p.Router().ActiveRequests(), CallerConnections: p.Frontend().OpenConnections(),
