fix(limiter,serverproxy): keep to the rate limit that a server states

Callers saw nothing at first; a server in need got two to four times the requests a second that it had asked for, until it would fall over. Cause: the node forwarded the limit to the caller and did not read it; health checks, up to 20 a second, answered to no limit at all. Evidence: rate-limited-server lines, 21 requests and 11 health checks a second at a server that states 6.9, the same rate before and during the limit. Change: a token bucket in the limiter, health checks within a twentieth of the limit, a request that no token reaches in time is refused at once. It works because all requests to a server pass its own node, and a restarted node learns the limit from the health check that it needs before it sends anything.

--- a/lib/limiter/limiter.go
+++ b/lib/limiter/limiter.go
@@ -1,5 +1,6 @@
 // Package limiter bounds how many requests the server next to a node runs at
-// once, and at what rate it gets them during a cold start.
+// once, and at what rate it gets them during a cold start or while it states a rate
+// limit.
 //
 // All requests to the server pass through its node, so the limiter's count is
 // exact. A slot is reserved before the request is sent, and the reservation
@@ -77,6 +78,7 @@
 	sentAt           []time.Time
 	coldUntil        time.Time
 	coldRate         float64
+	rate             tokenBucket
 	slowness         float64
 	externalRequests int
 	failureRate      float64
@@ -158,11 +160,11 @@
 }
 
 // Cost returns the expected slowness of one more request, taking the server's
-// load and recent failures into account.
+// load, recent failures and rate limit into account.
 func (l *Limiter) Cost(now time.Time) float64 {
 	load := 1 + loadWeight*float64(len(l.reservations)+l.externalRequests)/float64(l.ordinarySlots())
 	failure := 1 + failurePenalty*math.Max(0, l.currentFailureRate(now)-failureWeight/2)
-	return l.slowness * load * failure
+	return l.slowness*load*failure + rateWaitCost*l.RateWait(now).Seconds()
 }
 
 // ordinarySlots returns the number of slots open to requests that are not
@@ -175,7 +177,7 @@
 	if l.canReserve(now, r) && !l.outranked(now, r) {
 		return l.grant(now, key)
 	}
-	if r.maxWait <= 0 {
+	if r.maxWait <= 0 || l.isTooLate(now, now.Add(r.maxWait)) {
 		return Decision{key: key, status: Denied}
 	}
 	l.enqueue(queuedRequest{key: key, request: r, expires: now.Add(r.maxWait)})
@@ -199,7 +201,7 @@
 	if r.maxSlowness > 0 && l.slowness > r.maxSlowness {
 		return false
 	}
-	return len(l.reservations)+l.externalRequests < limit && l.coldStartAllows(now)
+	return len(l.reservations)+l.externalRequests < limit && l.coldStartAllows(now) && l.rateAllows(now)
 }
 
 // coldStartAllows reports whether one more request stays within the rate of a
@@ -265,6 +267,7 @@
 		return false
 	}
 	l.reservations[key] = reservation{started: true}
+	l.rate.spend(now)
 	l.RecordSent(now)
 	return true
 }
@@ -311,7 +314,7 @@
 	kept := l.queue[:0]
 	for _, q := range l.queue {
 		switch {
-		case !now.Before(q.expires):
+		case !now.Before(q.expires) || l.isTooLate(now, q.expires):
 			decisions = append(decisions, Decision{key: q.key, status: Denied})
 		case l.canReserve(now, q.request):
 			decisions = append(decisions, l.grant(now, q.key))
--- a/lib/serverproxy/advisory.go
+++ b/lib/serverproxy/advisory.go
@@ -22,6 +22,7 @@
 type statedLimit struct {
 	perSecond    float64
 	limited      bool
+	statedAt     time.Time
 	current      atomic.Uint64 // bits of perSecond, 0 without a limit, for RateLimit
 	requests     int
 	healthChecks int
@@ -30,6 +31,9 @@
 
 // set records a limit, or that there is none. It reports whether that is a change.
 func (s *statedLimit) set(now time.Time, perSecond float64, limited bool) bool {
+	if limited {
+		s.statedAt = now
+	}
 	if s.limited == limited && s.perSecond == perSecond {
 		return false
 	}
@@ -46,9 +50,9 @@
 func (p *Proxy) RateLimit() float64 { return math.Float64frombits(p.stated.current.Load()) }
 
 // handleAdvisory applies what the server asked in the response to a request or health
-// check of the given generation. A response of an earlier instance says nothing about
-// the present one.
-func (p *Proxy) handleAdvisory(now time.Time, source string, generation uint64, a httpclient.Advisory) {
+// check that was sent to the instance of the given generation. A response of an earlier
+// instance says nothing about the present one.
+func (p *Proxy) handleAdvisory(now, sentAt time.Time, source string, generation uint64, a httpclient.Advisory) {
 	if generation != p.generation {
 		return
 	}
@@ -56,15 +60,26 @@
 		p.log.Write("rate-limit-unreadable", "instance", p.instance, "source", source, "error", a.Err().Error())
 		return
 	}
-	p.applyRateLimit(now, source, a)
+	p.applyRateLimit(now, sentAt, source, a)
 }
 
-// applyRateLimit records the limit that the server states.
-func (p *Proxy) applyRateLimit(now time.Time, source string, a httpclient.Advisory) {
+// applyRateLimit applies the limit that the server states. A response without a limit
+// lifts it only if its request was sent after the limit was last stated: responses
+// arrive over many connections, and one with a long body may have begun before.
+func (p *Proxy) applyRateLimit(now, sentAt time.Time, source string, a httpclient.Advisory) {
 	limit, limited := a.RateLimit()
+	if !limited && !sentAt.After(p.stated.statedAt) {
+		return
+	}
 	before := p.stated.perSecond
-	if p.stated.set(now, limit, limited) {
-		p.log.Write("rate-limit", "instance", p.instance, "source", source, "before", before, "per_second", limit, "limited", limited)
+	if !p.stated.set(now, limit, limited) {
+		return
+	}
+	p.log.Write("rate-limit", "instance", p.instance, "source", source, "before", before, "per_second", limit, "limited", limited)
+	if limited {
+		p.slotLimiter.SetRateLimit(now, limit)
+	} else {
+		p.slotLimiter.ClearRateLimit()
 	}
 }
 
--- a/lib/serverproxy/health.go
+++ b/lib/serverproxy/health.go
@@ -27,6 +27,9 @@
 	// idleCheckInterval is the interval between health checks of a server that
 	// receives no requests.
 	idleCheckInterval = time.Second
+	// maxLimitedInterval bounds the interval of health checks of a server with a rate
+	// limit, so that the end of the limit is noticed without requests.
+	maxLimitedInterval = 2 * time.Second
 	// pendingCheckInterval is the interval between health checks of a server
 	// that must pass one before it receives requests.
 	pendingCheckInterval = 100 * time.Millisecond
@@ -49,6 +52,7 @@
 	coldRemaining    time.Duration
 	dialFailed       bool
 	generation       uint64
+	sentAt           time.Time
 	advisory         httpclient.Advisory
 	hasAdvisory      bool
 	err              error
@@ -60,6 +64,7 @@
 	instance   string
 	path       string
 	generation uint64
+	sentAt     time.Time
 }
 
 // healthSchedule decides when health checks are due. It belongs to the proxy's
@@ -110,24 +115,28 @@
 	p.slotLimiter.RecordSent(now)
 	p.stated.healthChecks++
 	p.observer.healthChecked()
-	s.checks.Put(healthCheck{address: p.latest.address, instance: p.instance, path: service.HealthPath(), generation: p.generation})
+	s.checks.Put(healthCheck{address: p.latest.address, instance: p.instance, path: service.HealthPath(), generation: p.generation, sentAt: now})
 	s.checking = true
 }
 
 // due reports whether the next health check should be sent.
 func (s *healthSchedule) due(now time.Time, p *Proxy) bool {
 	since := now.Sub(s.lastCheck)
+	limited := min(p.slotLimiter.HealthCheckInterval(), maxLimitedInterval)
 	if p.lifecycle.HasTag(tagChecking) {
-		return since >= pendingCheckInterval
+		return since >= max(pendingCheckInterval, min(limited, idleCheckInterval))
 	}
 	if !p.lifecycle.HasTag(tagRefreshing) || !p.dataCentre.HasTag(tagOpen) {
 		return false
 	}
 	if p.slotLimiter.Cold(now) {
-		return since >= coldCheckInterval
+		return since >= max(coldCheckInterval, limited)
 	}
 	if now.Sub(s.lastRequest) >= demandWindow {
-		return since >= idleCheckInterval
+		return since >= max(idleCheckInterval, limited)
+	}
+	if limited > 0 {
+		return since >= max(coldStatusMaxAge, limited)
 	}
 	return since >= loadReportMaxAge && now.Sub(s.lastReport) >= loadReportMaxAge || since >= coldStatusMaxAge
 }
@@ -192,7 +201,7 @@
 	if !exchange.Reusable() {
 		c.conn = nil
 	}
-	r := &healthResult{expectedInstance: hc.instance, instance: exchange.Instance(), coldRemaining: exchange.ColdRemaining(), generation: hc.generation, err: exchange.Err()}
+	r := &healthResult{expectedInstance: hc.instance, instance: exchange.Instance(), coldRemaining: exchange.ColdRemaining(), generation: hc.generation, sentAt: hc.sentAt, err: exchange.Err()}
 	r.advisory, r.hasAdvisory = exchange.Advisory()
 	r.report, r.hasReport = exchange.LoadReport()
 	r.responded = exchange.Response() != nil
--- a/lib/serverproxy/instance.go
+++ b/lib/serverproxy/instance.go
@@ -120,7 +120,7 @@
 		return
 	}
 	if r.hasAdvisory {
-		p.handleAdvisory(now, sourceHealthCheck, r.generation, r.advisory)
+		p.handleAdvisory(now, r.sentAt, sourceHealthCheck, r.generation, r.advisory)
 	}
 	if r.err != nil {
 		p.handleFailedCheck(now, r)
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -88,12 +88,12 @@
 	}
 }
 
-// retryAfter estimates when a slot will be free for one more request: the
-// queued requests plus one, divided by the number of slots, times half the
-// expected latency.
+// retryAfter estimates when one more request can be sent: when a slot will be free,
+// which is the queued requests plus one, divided by the number of slots, times half the
+// expected latency; or when the server's rate limit allows it, if that is later.
 func (p *Proxy) retryAfter() time.Duration {
 	batches := math.Ceil(float64(p.slotLimiter.QueueLen()+1) / float64(p.slotLimiter.Slots()))
-	return max(minRetryAfter, time.Duration(batches*float64(p.expectedLatency())/2))
+	return max(minRetryAfter, time.Duration(batches*float64(p.expectedLatency())/2), p.slotLimiter.RateWait(p.clock.Now()))
 }
 
 func (p *Proxy) expectedLatency() time.Duration {
@@ -181,7 +181,7 @@
 		p.observer.dialled()
 	}
 	if a, ok := m.result.Advisory(); ok {
-		p.handleAdvisory(now, sourceRequest, r.generation, a)
+		p.handleAdvisory(now, r.started, sourceRequest, r.generation, a)
 	}
 	p.recordResult(now, m.result, now.Sub(r.started), cancelled)
 	p.endFinished(m)
