fix(serverproxy): a server that states that it leaves gets no more requests

Callers would see requests cut off, as a server in its last seconds still got new ones. Only announcements drained a server. Answers of an earlier instance don't count.

--- a/lib/serverproxy/advisory.go
+++ b/lib/serverproxy/advisory.go
@@ -56,6 +56,9 @@
 	if generation != p.generation {
 		return
 	}
+	if a.Leaving() {
+		p.recordLeaving(now, source)
+	}
 	if a.Err() != nil {
 		p.log.Write("rate-limit-unreadable", "instance", p.instance, "source", source, "error", a.Err().Error())
 		return
@@ -93,3 +96,22 @@
 		"over_ms", now.Sub(s.loggedAt).Milliseconds(), "in_use", p.slotLimiter.InUse(), "queued", p.slotLimiter.QueueLen())
 	s.requests, s.healthChecks, s.loggedAt = 0, 0, now
 }
+
+// recordLeaving drains the server, which states in its responses that it leaves, and
+// has the node pass that on: a later process of this node must not use the server
+// either, and the server may not have announced anything yet.
+func (p *Proxy) recordLeaving(now time.Time, source string) {
+	if p.leaving {
+		return
+	}
+	p.leaving = true
+	// Without an announcement the start of the instance is unknown. Any instance that
+	// starts from now on is another one.
+	startedAt := now.UnixMilli()
+	if p.announced {
+		startedAt = p.latest.startedAt
+	}
+	p.log.Write("server-leaving", "instance", p.instance, "source", source, "born", startedAt, "announced", p.announced)
+	p.handleDeparture(&departureMessage{id: p.instance, startedAt: startedAt})
+	p.hooks.leaving(p.instance, startedAt)
+}
--- a/lib/serverproxy/advisory_test.go
+++ b/lib/serverproxy/advisory_test.go
@@ -88,3 +88,52 @@
 		must.Eq(t, 100, r.proxy.RateLimit(), must.Sprint(n, text))
 	}
 }
+
+// TestLeaving_ServerThatSaysSoInAnAnswerGetsNoMore guards against requests to a server
+// that states that it leaves before it announces it.
+func TestLeaving_ServerThatSaysSoInAnAnswerGetsNoMore(t *testing.T) {
+	r := newOpenRig(t)
+	offered, pending := r.mustOffer(1), r.mustOffer(2)
+	r.exchange(1, offered, "X-Leaving: 1\r\n")
+	must.Eq(t, upstream.Refused, (<-pending).Kind())
+	must.Eq(t, "i-1 1", <-r.leaving)
+	must.Eq(t, upstream.Refused, (<-r.reserve(3, time.Hour)).Kind())
+	must.True(t, r.announce(announcement("i-1", 1, 2)))
+	r.run(time.Second)
+	must.Eq(t, "draining", r.proxy.Dump(t.Context()).State())
+	must.Eq(t, 0, len(r.leaving))
+	// A later start under the same id is another instance.
+	must.True(t, r.announce(announcement("i-1", 8, 1)))
+	r.awaitState("open")
+}
+
+// TestLeaving_HealthCheckOfUnannouncedServerSaysSo has a node start beside a server
+// that is leaving and announces itself as ready only later.
+func TestLeaving_HealthCheckOfUnannouncedServerSaysSo(t *testing.T) {
+	r := newRig(t)
+	r.setHealth(healthOf("i-1", http.StatusServiceUnavailable, "X-Leaving: 1\r\n"))
+	for r.proxy.Dump(t.Context()).State() != "draining" {
+		r.run(tick)
+	}
+	must.True(t, r.announce(announcement("i-1", 1, 2)))
+	r.setHealth(healthOf("i-1", http.StatusOK, ""))
+	r.run(time.Second)
+	must.Eq(t, "draining", r.proxy.Dump(t.Context()).State())
+	must.Eq(t, upstream.Refused, (<-r.reserve(1, 0)).Kind())
+}
+
+// TestLeaving_AnswerOfEarlierInstanceDoesNotDrainTheNext has the server replaced while
+// it works on a request.
+func TestLeaving_AnswerOfEarlierInstanceDoesNotDrainTheNext(t *testing.T) {
+	r := newOpenRig(t)
+	events := r.mustOffer(1)
+	r.submit(1, "id-1", time.Hour)
+	<-r.server.requests
+	r.setHealth(healthOf("i-2", http.StatusOK, ""))
+	must.True(t, r.announce(announcement("i-2", 5, 1)))
+	r.awaitState("open")
+	r.server.answers <- answerWith("id-1", "X-Leaving: 1\r\n")
+	must.Eq(t, upstream.Answered, (<-events).Kind())
+	r.settle()
+	must.Eq(t, "open", r.proxy.Dump(t.Context()).State())
+}
--- a/lib/serverproxy/doc.go
+++ b/lib/serverproxy/doc.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	p, err := serverproxy.New(config, charts, clock, log, observer, onChange)
+//	p, err := serverproxy.New(config, charts, clock, log, observer, hooks)
 //	go p.Run(ctx)
 //	endpoint := p.Endpoint("host-1")
 //	accepted := p.Announce(ctx, announcement)
--- a/lib/serverproxy/proxy.go
+++ b/lib/serverproxy/proxy.go
@@ -122,10 +122,12 @@
 	stated     statedLimit
 	// generation counts the instances that this node has known, so that a response is
 	// attributed to the instance that sent it.
-	generation  uint64
+	generation uint64
+	// leaving is whether the instance has stated in a response that it leaves.
+	leaving     bool
 	meanLatency time.Duration
 	lastTickAt  time.Time
-	onChange    func(ServerState)
+	hooks       Hooks
 	observer    Observer
 	published   ServerState
 }
@@ -143,6 +145,20 @@
 	return Observer{served: served, healthChecked: healthChecked, dialled: dialled}
 }
 
+// Hooks are the functions through which a proxy's task notifies the node. They must not
+// block.
+type Hooks struct {
+	stateChanged func(ServerState)
+	leaving      func(instance string, startedAt int64)
+}
+
+// NewHooks returns hooks. stateChanged is called whenever the published state changes,
+// and leaving when an instance states in a response that it leaves; startedAt is its
+// start time in Unix milliseconds.
+func NewHooks(stateChanged func(ServerState), leaving func(instance string, startedAt int64)) Hooks {
+	return Hooks{stateChanged: stateChanged, leaving: leaving}
+}
+
 // pendingRequest is a slot request together with the function that receives its
 // events.
 type pendingRequest struct {
@@ -150,13 +166,12 @@
 	reply   func(upstream.Event)
 }
 
-// New returns a proxy. The proxy's task calls onChange whenever the published
-// server state changes; onChange must not block.
-func New(config Config, charts *chart.Set, clock clockwork.Clock, log *eventlog.Log, observer Observer, onChange func(ServerState)) (*Proxy, error) {
+// New returns a proxy.
+func New(config Config, charts *chart.Set, clock clockwork.Clock, log *eventlog.Log, observer Observer, hooks Hooks) (*Proxy, error) {
 	p := &Proxy{
 		config: config, clock: clock, log: log, inbox: task.NewInbox[message](inboxSize),
 		slotLimiter: limiter.New(1), requests: map[limiter.Key]pendingRequest{}, forwarded: map[limiter.Key]*forwardedRequest{}, departures: map[string]int64{},
-		onChange: onChange, observer: observer,
+		hooks: hooks, observer: observer,
 		published: ServerState{service: config.service},
 	}
 	p.latest.service = config.service
@@ -198,6 +213,7 @@
 	p.denyPending()
 	p.slotLimiter = limiter.New(p.maxConcurrent())
 	p.generation++
+	p.leaving = false
 	p.stated.set(p.clock.Now(), 0, false)
 	p.closeIdleConns()
 	p.health.resetState()
@@ -294,11 +310,11 @@
 	}
 }
 
-// publishState calls onChange if the published state has changed.
+// publishState notifies the node if the published state has changed.
 func (p *Proxy) publishState() {
 	state := ServerState{service: p.latest.service, instance: p.instance, accepting: p.admits()}
 	if state != p.published {
 		p.published = state
-		p.onChange(state)
+		p.hooks.stateChanged(state)
 	}
 }
--- a/lib/serverproxy/serverproxy_test.go
+++ b/lib/serverproxy/serverproxy_test.go
@@ -39,12 +39,13 @@
 
 // rig is a proxy without sockets, on a clock that the test moves.
 type rig struct {
-	t      *testing.T
-	clock  *clockwork.FakeClock
-	proxy  *serverproxy.Proxy
-	server *fakeServer
-	states chan serverproxy.ServerState
-	log    *bytes.Buffer
+	t       *testing.T
+	clock   *clockwork.FakeClock
+	proxy   *serverproxy.Proxy
+	server  *fakeServer
+	states  chan serverproxy.ServerState
+	leaving chan string
+	log     *bytes.Buffer
 }
 
 func healthOf(instance string, status int, extra string) string {
@@ -60,7 +61,7 @@
 	charts, err := chart.Embedded()
 	must.NoError(t, err)
 	r := &rig{
-		t: t, clock: clockwork.NewFakeClock(), states: make(chan serverproxy.ServerState, 256), log: &bytes.Buffer{},
+		t: t, clock: clockwork.NewFakeClock(), states: make(chan serverproxy.ServerState, 256), leaving: make(chan string, 16), log: &bytes.Buffer{},
 		server: &fakeServer{health: make(chan string, 1), requests: make(chan *http.Request, 16), answers: make(chan string, 16)},
 	}
 	r.server.health <- healthOf("i-1", http.StatusOK, "")
@@ -72,7 +73,9 @@
 		})
 	observer := serverproxy.NewObserver(func(string, string, time.Duration) {}, func() {}, func() {})
 	log := eventlog.New(r.log, r.clock, "host-1")
-	r.proxy, err = serverproxy.New(config, charts, r.clock, log, observer, func(s serverproxy.ServerState) { r.states <- s })
+	r.proxy, err = serverproxy.New(config, charts, r.clock, log, observer, serverproxy.NewHooks(
+		func(s serverproxy.ServerState) { r.states <- s },
+		func(instance string, startedAt int64) { r.leaving <- fmt.Sprint(instance, " ", startedAt) }))
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/savorygap-node/internal/pipeline/limit_test.go
+++ b/savorygap-node/internal/pipeline/limit_test.go
@@ -112,3 +112,34 @@
 	wait()
 	must.LessEq(t, int(limitTolerance*limitWindow.Seconds())+limitSlack, busiestWindow(c.server.TakeArrivals(), bound))
 }
+
+// TestLeavingServer_GetsNothingOnceItSaysSo guards against requests to a server that
+// states in an answer that it leaves, while its announcements still say that it is ready,
+// and after a restart of its node.
+func TestLeavingServer_GetsNothingOnceItSaysSo(t *testing.T) {
+	cl := newCluster(t)
+	a, b, c := cl.addHost(t, "till", 0), cl.addHost(t, "shop", 0), cl.addHost(t, "shop", 0)
+	b.server.SetLeaving(true)
+	a.mustSend(t, http.MethodGet, "/read/1", "told", "")
+	cl.awaitAccepting(t, b, "shop", false)
+	takeRequestIDs(b.server)
+	mustReachOnly := func(server *host, prefix string) {
+		t.Helper()
+		b.announce(t, "ready")
+		for n := range 40 {
+			must.Eq(t, http.StatusOK, a.mustSend(t, http.MethodGet, "/read/1", fmt.Sprint(prefix, n), "").status)
+		}
+		must.Eq(t, 0, len(takeRequestIDs(b.server)))
+		must.Eq(t, 40, len(takeRequestIDs(server.server)))
+	}
+	takeRequestIDs(c.server)
+	mustReachOnly(c, "before-")
+	eventually(t, 4*time.Second, func() bool { return len(cl.store.Keys("savorygap/departure/")) == 1 })
+	b.kill()
+	b.start(t)
+	// Only what the node was told before its restart can keep it from the server.
+	b.server.SetLeaving(false)
+	eventually(t, 10*time.Second, func() bool { ready, _ := b.process.Ready(); return ready })
+	time.Sleep(time.Second)
+	mustReachOnly(c, "after-")
+}
--- a/savorygap-node/internal/servers/servers.go
+++ b/savorygap-node/internal/servers/servers.go
@@ -10,6 +10,7 @@
 	"savorygap.example/lib/link"
 	"savorygap.example/lib/registry"
 	"savorygap.example/lib/serverproxy"
+	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
 	"savorygap.example/platform"
 	"savorygap.example/savorygap-node/internal/process"
@@ -40,10 +41,15 @@
 		p.Router().SetLocalServer(s.Service(), s.Accepting(), endpoint)
 		p.Fleet().SetServerState(link.NewServerState(s.Service(), s.Instance(), s.Accepting()))
 	}
-	proxy, err := serverproxy.New(config, p.Charts(), p.Clock(), p.Log(), observer, onStateChange)
+	leaving := task.NewLatest[departure]()
+	onLeaving := func(instance string, startedAt int64) {
+		leaving.Put(departure{instance: instance, startedAt: startedAt})
+	}
+	proxy, err := serverproxy.New(config, p.Charts(), p.Clock(), p.Log(), observer, serverproxy.NewHooks(onStateChange, onLeaving))
 	if err != nil {
 		return err
 	}
+	p.Go(func(ctx context.Context) { recordDepartures(ctx, p, leaving) })
 	endpoint = proxy.Endpoint(t.Host())
 	p.SetServerProxy(proxy)
 	p.Metrics().RegisterGauge("savorygap_server_running", "Requests at the server on this host.", func() float64 { return float64(proxy.InFlight()) })
@@ -74,10 +80,28 @@
 	return p.Serve(p.Settings().AnnouncementsAddress(), platform.AnnouncementHandler(announce, leave, p.Log()))
 }
 
+// departure is an instance that leaves, and when it was started, in Unix milliseconds.
+type departure struct {
+	instance  string
+	startedAt int64
+}
+
+// recordDepartures records the instances that state in their responses that they leave.
+func recordDepartures(ctx context.Context, p *process.Process, leaving *task.Latest[departure]) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case d := <-leaving.Values():
+			recordDeparture(ctx, p, d.instance, d.startedAt)
+		}
+	}
+}
+
 // recordDeparture writes to the store, and tells the other nodes, that an instance
-// leaves. If the store does not
-// confirm this in time, the departure is acknowledged nevertheless: this process
-// honours it already, and the registrar repeats the write until it succeeds.
+// leaves. If the store does not confirm this in time, the departure is acknowledged
+// nevertheless: this process honours it already, and the registrar repeats the write
+// until it succeeds.
 func recordDeparture(ctx context.Context, p *process.Process, id string, startedAt int64) {
 	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
 	defer cancel()
