fix(platform): one unreadable item of the store does not hide the others

Callers would get requests refused for servers and configurations that the nodes never learned of. Cause: a reply of the store was decoded as a whole, so that one item with, say, a revision too large failed the read, and the watcher repeated it without end. Change: items are decoded one by one; an unreadable one is left out and logged as store-item-unreadable.

--- a/savorygap-node/internal/storage/storage.go
+++ b/savorygap-node/internal/storage/storage.go
@@ -38,7 +38,9 @@
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleTimeout,
 		ReadBufferSize: connBufferBytes, WriteBufferSize: connBufferBytes,
 	}}
-	store := platform.NewStore(t.StoreAddress(), client, p.Metrics().ObserveStoreCall)
+	store := platform.NewStore(t.StoreAddress(), client, p.Metrics().ObserveStoreCall, func(call string, err error) {
+		p.Log().Write("store-item-unreadable", "call", call, "error", err.Error())
+	})
 	monitor := &availability{process: p}
 	watcher := registry.NewWatcher(store, p.Clock(), func() float64 { return p.Fleet().WatchShare() }, func(started bool) { p.Fleet().AnnounceWatch(started) },
 		func(u registry.Update) { p.Fleet().ApplyUpdate(u) }, monitor.observeWatch)
