--- a/lib/fleet/encoding.go
+++ b/lib/fleet/encoding.go
@@ -5,6 +5,7 @@
 	"fmt"
 
 	"savorygap.example/lib/registry"
+	"savorygap.example/lib/socket"
 )
 
 // memberForm is the JSON encoding of a member in the store.
@@ -33,5 +34,8 @@
 	if form.Address == "" || form.Service == "" {
 		return Member{}, fmt.Errorf("entry of node %q has no address or no service", r.Name())
 	}
+	if err := socket.CheckAddress(form.Address); err != nil {
+		return Member{}, fmt.Errorf("entry of node %q: %w", r.Name(), err)
+	}
 	return NewMember(r.Name(), form.Address, form.DataCentre, form.Service).WithReadVersion(form.Read), nil
 }
