--- a/savorygap-bench/internal/soak/check.go
+++ b/savorygap-bench/internal/soak/check.go
@@ -47,6 +47,7 @@
 	all = append(all, checkResponses(samples, byID, hist)...)
 	all = append(all, checkLost(samples, byID, hist)...)
 	all = append(all, checkConfiguration(samples, hist)...)
+	all = append(all, checkLimits(executions, hist)...)
 	return append(all, checkExecutions(executions, samples, hist)...)
 }
 
--- a/savorygap-bench/internal/soak/record.go
+++ b/savorygap-bench/internal/soak/record.go
@@ -51,6 +51,7 @@
 	evacuations  []evacuation
 	coldStarts   []coldStart
 	changes      []configChange
+	limits       []rateLimit
 	failures     []string
 }
 
--- a/savorygap-bench/internal/soak/soak.go
+++ b/savorygap-bench/internal/soak/soak.go
@@ -107,9 +107,13 @@
 	sending, stopSending := context.WithCancel(ctx)
 	defer stopSending()
 	r.startLoad(ctx, sending)
+	limiting, endLimits := context.WithCancel(sending)
+	defer endLimits()
+	go r.stateLimits(limiting)
 	for time.Since(r.started) < r.options.length && ctx.Err() == nil {
 		r.runEpisode(ctx)
 	}
+	endLimits()
 	r.checkRecovery(ctx)
 	stopSending()
 	time.Sleep(callerTimeout)
