--- a/lib/limiter/ratelimit.go
+++ b/lib/limiter/ratelimit.go
@@ -6,8 +6,8 @@
 )
 
 const (
-	// healthCheckShare is the fraction of a stated rate limit left to health checks,
-	// which the server counts like any other request.
+	// healthCheckShare is the fraction of a stated rate limit left to health checks.
+	// A server may not count them, but they are work for it like any other request.
 	healthCheckShare = 0.05
 	// burstPeriod bounds how many requests may follow each other without delay: those
 	// of this period at the stated rate, and at least one.
@@ -20,7 +20,8 @@
 )
 
 // tokenBucket spaces out requests to the rate that the server states. The zero value
-// does not limit.
+// does not limit. Unlike rate.Limiter of golang.org/x/time, it starts empty, and its
+// capacity follows a rate that may change with each response.
 type tokenBucket struct {
 	limited   bool
 	perSecond float64
