--- a/lib/serverproxy/advisory_test.go
+++ b/lib/serverproxy/advisory_test.go
@@ -27,6 +27,21 @@
 	r.settle()
 }
 
+// answerAfterReplacement has the server answer a request after it was replaced. The
+// answer has further header lines.
+func (r *rig) answerAfterReplacement(lines string) {
+	r.t.Helper()
+	events := r.mustOffer(1)
+	r.submit(1, "id-1", time.Hour)
+	<-r.server.requests
+	r.setHealth(healthOf("i-2", http.StatusOK, ""))
+	must.True(r.t, r.announce(announcement("i-2", 5, 1)))
+	r.awaitState("open")
+	r.server.answers <- answerWith("id-1", lines)
+	must.Eq(r.t, upstream.Answered, (<-events).Kind())
+	r.settle()
+}
+
 // TestRateLimit_LastsUntilTheServerStatesNone has the server state a limit in an answer
 // and in health checks, and then state none.
 func TestRateLimit_LastsUntilTheServerStatesNone(t *testing.T) {
@@ -65,15 +80,7 @@
 // request.
 func TestRateLimit_OfEarlierInstanceIsIgnored(t *testing.T) {
 	r := newOpenRig(t)
-	events := r.mustOffer(1)
-	r.submit(1, "id-1", time.Hour)
-	<-r.server.requests
-	r.setHealth(healthOf("i-2", http.StatusOK, ""))
-	must.True(t, r.announce(announcement("i-2", 5, 1)))
-	r.awaitState("open")
-	r.server.answers <- answerWith("id-1", "X-Rate-Limit: 1\r\n")
-	must.Eq(t, upstream.Answered, (<-events).Kind())
-	r.settle()
+	r.answerAfterReplacement("X-Rate-Limit: 1\r\n")
 	must.Eq(t, 0, r.proxy.RateLimit())
 }
 
@@ -126,14 +133,6 @@
 // it works on a request.
 func TestLeaving_AnswerOfEarlierInstanceDoesNotDrainTheNext(t *testing.T) {
 	r := newOpenRig(t)
-	events := r.mustOffer(1)
-	r.submit(1, "id-1", time.Hour)
-	<-r.server.requests
-	r.setHealth(healthOf("i-2", http.StatusOK, ""))
-	must.True(t, r.announce(announcement("i-2", 5, 1)))
-	r.awaitState("open")
-	r.server.answers <- answerWith("id-1", "X-Leaving: 1\r\n")
-	must.Eq(t, upstream.Answered, (<-events).Kind())
-	r.settle()
+	r.answerAfterReplacement("X-Leaving: 1\r\n")
 	must.Eq(t, "open", r.proxy.Dump(t.Context()).State())
 }
