--- a/review/stand/backend.go
+++ b/review/stand/backend.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -41,7 +42,9 @@
 	state    atomic.Value // string
 	coldEnd  atomic.Int64 // Unix milliseconds
 	stopped  chan struct{}
-	OnRun    func(id, uri string, at time.Time)
+	// AnswerBytes is the least size of a body.
+	AnswerBytes int
+	OnRun       func(id, uri string, at time.Time)
 	// OnBrokenOff is called when the connection of a request closes during its run.
 	OnBrokenOff func(id string, at time.Time)
 }
@@ -121,6 +124,7 @@
 	}
 	sum := sha256.Sum256(body)
 	text := fmt.Sprintf("%s %s %s %s", b.id, r.Method, id, hex.EncodeToString(sum[:8]))
+	text += strings.Repeat(".", max(0, b.AnswerBytes-len(text)))
 	h.Set(names.Signature(), "seal-"+b.id)
 	h.Set("Content-Length", strconv.Itoa(len(text)))
 	_, _ = io.WriteString(w, text)
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -127,3 +128,44 @@
 	a.Status, a.Sealed = response.StatusCode, response.Header.Get(names.Signature()) != ""
 	return a
 }
+
+// Download sends a read on a new connection and reads its answer at a number of bytes a
+// second.
+func Download(node, host, uri string, rate int, deadline time.Duration) Answer {
+	a := Answer{ID: NewID()}
+	started := time.Now()
+	conn, err := net.DialTimeout("tcp", node, time.Second)
+	if err != nil {
+		a.Err = err
+		return a
+	}
+	defer func() { _ = conn.Close() }()
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetReadBuffer(downloadWindow)
+	}
+	_ = conn.SetDeadline(started.Add(deadline))
+	_, _ = fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n", uri, host, names.AttemptID(), a.ID, names.Timeout(), deadline.Milliseconds())
+	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodGet})
+	if err == nil {
+		begun, total, b := time.Now(), 0, make([]byte, uploadStep)
+		for err == nil {
+			var n int
+			n, err = response.Body.Read(b)
+			total += n
+			time.Sleep(time.Until(begun.Add(time.Duration(float64(total) / float64(rate) * float64(time.Second)))))
+		}
+		if errors.Is(err, io.EOF) {
+			err = nil
+		}
+	}
+	a.Took = time.Since(started)
+	if err != nil {
+		a.Err = err
+		return a
+	}
+	a.Status, a.Sealed = response.StatusCode, response.Header.Get(names.Signature()) != ""
+	return a
+}
+
+// downloadWindow is the receive buffer of a client that downloads, in bytes.
+const downloadWindow = 64 << 10
--- a/review/stand/cmd/uploads/main.go
+++ b/review/stand/cmd/uploads/main.go
@@ -1,7 +1,6 @@
-// Command uploads plays clients that upload large bodies beside clients that read over
-// connections that they keep, and checks the rule LOST.
-//
-// With the disruption, more clients upload at the same time.
+// Command uploads plays clients that upload, or download, large bodies beside clients
+// that read over connections that they keep, and checks the rule LOST. With the
+// disruption, more clients transfer at the same time.
 package main
 
 import (
@@ -36,6 +35,7 @@
 	calm, burst int
 	bytes, rate int
 	length      time.Duration
+	download    bool
 }
 
 // run is one play.
@@ -58,6 +58,7 @@
 	flag.IntVar(&o.bytes, "bytes", 4<<20, "size of a body")
 	flag.IntVar(&o.rate, "rate", 2<<20, "bytes a second that a client sends")
 	flag.DurationVar(&o.length, "length", 20*time.Second, "length of the play")
+	flag.BoolVar(&o.download, "download", false, "the clients download in place of uploading")
 	flag.Parse()
 	code, err := play(o)
 	if err != nil {
@@ -84,7 +85,7 @@
 	body := make([]byte, o.bytes)
 	r.startedAt = time.Now().Add(time.Second)
 	entry := w.Hosts()[0]
-	w.Record().Say("%d uploading clients and %d reading clients at %s, %d MB a body, %d MB/s a client", uploaders, readers, entry.Name(), o.bytes>>20, o.rate>>20)
+	w.Record().Say("%d clients that transfer and %d that read at %s, %d KB a body, %d KB/s a client, download: %t", uploaders, readers, entry.Name(), o.bytes>>10, o.rate>>10, o.download)
 	for range readers {
 		r.clients.Go(func() { r.read(entry) })
 	}
@@ -111,6 +112,9 @@
 			work = workUpload
 		}
 		b := stand.NewBackend(r.world.Record(), fmt.Sprintf("i-%08d", i+1), service, h.Zone(), 12, work)
+		if r.download && service == "sensorhub" {
+			b.AnswerBytes = r.bytes
+		}
 		b.OnRun = func(id, _ string, _ time.Time) { r.started.Store(id, true) }
 		if err := errors.Join(b.Serve(h.Server()), h.StartNode()); err != nil {
 			return err
@@ -170,8 +174,13 @@
 func (r *run) upload(h *stand.Host, body []byte) {
 	for n := 0; !r.over(); n++ {
 		time.Sleep(time.Until(r.startedAt.Add(time.Duration(n) * wave)))
-		a := stand.Upload(h.Callers(), virtualHost, "/sensorhub/archive", body, r.rate, uploadDeadline)
-		r.world.Record().Add("upload %s at %s: status %d, %v, after %d ms", a.ID, h.Name(), a.Status, a.Err, a.Took.Milliseconds())
+		var a stand.Answer
+		if r.download {
+			a = stand.Download(h.Callers(), virtualHost, "/sensorhub/export", r.rate, uploadDeadline)
+		} else {
+			a = stand.Upload(h.Callers(), virtualHost, "/sensorhub/archive", body, r.rate, uploadDeadline)
+		}
+		r.world.Record().Add("transfer %s at %s: status %d, %v, after %d ms", a.ID, h.Name(), a.Status, a.Err, a.Took.Milliseconds())
 	}
 }
 
