review: stricter checks and clients in the cases

Cases 1 and 4 count only reads on connections that had carried an answer. In case 3 clients open a connection for each request and honour Retry-After; in case 4 no large answer crosses a link between machines.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "${BASH_SOURCE[0]}")" || exit 2
 export REPOSITORY=../.. ITEMS=items.json
 [ -x ../target/rolling ] && [ -x ../../target/savorygap-node ] || { echo "build first: deploy file and review/build.sh"; exit 2; }
-exec ../target/rolling -clients 14 -slots 12 -work 2s -deadline 30s -gap 2s -order 1,3,4,6
+exec ../target/rolling -clients 14 -slots 12 -work 2s -deadline 30s -gap 2s -fresh -order 1,3,4,6
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -21,9 +21,11 @@
 	Status int
 	Sealed bool
 	Close  bool // the connection takes no further request
-	Body   string
-	Err    error
-	Took   time.Duration
+	// RetryAfter is the time after which the client may come back.
+	RetryAfter time.Duration
+	Body       string
+	Err        error
+	Took       time.Duration
 }
 
 // NewID returns the id of an attempt.
@@ -75,6 +77,9 @@
 		a.Err = err
 		return a
 	}
+	if s, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64); err == nil {
+		a.RetryAfter = time.Duration(s * float64(time.Second))
+	}
 	a.Status, a.Sealed, a.Close = response.StatusCode, response.Header.Get(names.Signature()) != "", response.Close
 	return a
 }
--- a/review/stand/cmd/rolling/main.go
+++ b/review/stand/cmd/rolling/main.go
@@ -35,6 +35,7 @@
 	clients, slots      int
 	work, deadline, gap time.Duration
 	order               []int
+	fresh               bool
 }
 
 // request is one attempt of a client.
@@ -67,6 +68,7 @@
 	flag.DurationVar(&o.work, "work", 3500*time.Millisecond, "work of a request")
 	flag.DurationVar(&o.deadline, "deadline", 5*time.Second, "deadline of the clients and TimeoutS of the route")
 	flag.DurationVar(&o.gap, "gap", 2*time.Second, "time between two stops")
+	flag.BoolVar(&o.fresh, "fresh", false, "a new connection for each request")
 	order := flag.String("order", "2,1,3,5,4,6", "hosts that are stopped, in turn")
 	flag.Parse()
 	for _, text := range strings.Split(*order, ",") {
@@ -213,12 +215,12 @@
 			r.host, r.sent, r.ended, r.status, r.sealed, r.err = host, sent, ended, a.Status, a.Sealed, a.Err
 		}
 		p.world.Record().Add("request %s sent to %s: status %d (%v) after %d ms", id, h.Name(), a.Status, a.Err, a.Took.Milliseconds())
-		if a.Err != nil || a.Close {
+		if a.Err != nil || a.Close || p.fresh {
 			c.Close()
 			c = nil
 		}
 		if a.Status != 200 {
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(max(a.RetryAfter, 100*time.Millisecond))
 		}
 	}
 }
--- a/review/stand/cmd/uploads/main.go
+++ b/review/stand/cmd/uploads/main.go
@@ -31,6 +31,10 @@
 // services names the service of the backend at each host.
 var services = []string{"logview", "findings", "sensorhub", "logview", "findings", "sensorhub"}
 
+// downloadServices puts the only backend of the downloads beside the entry, so that no
+// large answer crosses a link between machines.
+var downloadServices = []string{"sensorhub", "findings", "logview", "logview", "findings", "logview"}
+
 type options struct {
 	calm, burst int
 	bytes, rate int
@@ -102,8 +106,12 @@
 	if err := r.world.LoadItems(os.Getenv("ITEMS")); err != nil {
 		return err
 	}
-	for i, service := range services {
-		h, err := r.world.AddHost([]string{"pamplemousses", "port-louis"}[2*i/len(services)], service)
+	list := services
+	if r.download {
+		list = downloadServices
+	}
+	for i, service := range list {
+		h, err := r.world.AddHost([]string{"pamplemousses", "port-louis"}[2*i/len(list)], service)
 		if err != nil {
 			return err
 		}
@@ -140,8 +148,10 @@
 // read sends reads one after the other over a kept connection.
 func (r *run) read(h *stand.Host) {
 	var c *stand.Client
+	carried := 0
 	for !r.over() {
 		if c == nil {
+			carried = 0
 			var err error
 			if c, err = stand.DialClient(h.Callers(), virtualHost); err != nil {
 				time.Sleep(100 * time.Millisecond)
@@ -152,16 +162,20 @@
 		a := c.Do(id, "GET", "/logview/today", nil, readDeadline)
 		r.reads.Add(1)
 		r.answers[a.Status].Add(1)
-		if a.Err == nil {
+		if a.Err == nil && !a.Close {
+			carried++
 			time.Sleep(20 * time.Millisecond)
 			continue
 		}
 		c.Close()
 		c = nil
+		if a.Err == nil {
+			continue
+		}
 		_, passedOn := r.started.Load(id)
 		timeOver := errors.Is(a.Err, os.ErrDeadlineExceeded)
 		r.world.Record().Add("read %s at %s gets no answer: %v; passed on to a backend: %t", id, h.Name(), a.Err, passedOn)
-		if passedOn && !timeOver {
+		if carried > 0 && passedOn && !timeOver {
 			r.lost.Add(1)
 		}
 	}
