--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -133,7 +133,7 @@
 	if route.Timeout() > 0 && route.Timeout() < p.call.timeLeft {
 		p.deadline = p.call.received.Add(route.Timeout())
 	}
-	if p.plan.stop.refuses(p.call.received, p.deadline) {
+	if p.comesTooLate() {
 		p.reason = ErrStopping.Error()
 		return p.endWithoutSlot()
 	}
--- a/lib/dispatch/messages.go
+++ b/lib/dispatch/messages.go
@@ -37,27 +37,20 @@
 	m.dump.Abandon()
 }
 
-// stopTimes are the times of a node that stops, zero for one that does not.
+// stopTimes are the times of a node that stops.
 type stopTimes struct {
 	lastAccepted time.Time
-	end          time.Time
+	shutdown     upstream.Shutdown
 }
 
-// refuses reports whether a call received at the given time may still be under
-// way when the node stops.
-func (s stopTimes) refuses(received, deadline time.Time) bool {
-	return !s.end.IsZero() && received.After(s.lastAccepted) && deadline.After(s.end)
-}
-
-// plan is the result of matching a call: its route, the service chosen for it,
-// the servers to ask for a slot, and when the node stops.
+// plan is the result of matching a call: its route, the service chosen for it, and
+// the servers to ask for a slot.
 type plan struct {
 	route       *routeconfig.Route
 	service     string
 	version     uint64
 	meanLatency time.Duration
 	candidates  []candidate
-	stop        stopTimes
 }
 
 // candidate is a server to ask for a slot, with the cost factor of its
--- a/lib/dispatch/reserve.go
+++ b/lib/dispatch/reserve.go
@@ -53,6 +53,7 @@
 	serversAsked int
 	reason       string
 	retryAfter   time.Duration
+	latestStart  func() (time.Time, bool) // see pendingCall.latestStart
 }
 
 // findSlot reserves a slot at the cheapest candidate, and queues if none is
@@ -75,6 +76,10 @@
 // servers asked to the totals of the call.
 func (p *pendingCall) searchSlot(ctx context.Context, candidates []candidate, request upstream.SlotRequest) (offer, bool) {
 	started := p.router.clock.Now()
+	if latest, limited := p.latestStart(); limited && !started.Before(latest) {
+		p.reason, p.retryAfter = ErrStopping.Error(), 0
+		return offer{}, false
+	}
 	s := p.newSearch(candidates)
 	best, ok := s.run(ctx, candidates, request)
 	p.searchTime += p.router.clock.Since(started)
@@ -105,6 +110,7 @@
 		router: p.router, service: p.plan.service, bodySize: len(p.call.request.Body()),
 		events:  make(chan upstream.Event, upstream.MaxEvents*len(candidates)),
 		pending: make(map[uint64]candidate, len(candidates)), replied: make(map[uint64]bool, len(candidates)),
+		latestStart: p.latestStart,
 	}
 }
 
@@ -149,8 +155,10 @@
 // collect handles replies and returns the cheapest offer, once all servers
 // have replied or the wait for the rest is over.
 func (s *slotSearch) collect(ctx context.Context, maxWait time.Duration) (offer, bool) {
+	until := s.router.clock.Now().Add(maxWait + replyTimeout)
 	waitTimer := s.router.clock.NewTimer(maxWait + replyTimeout)
 	defer waitTimer.Stop()
+	stopping, timeoutReason := s.router.stopping, "no place in time"
 	replyTimer := s.router.clock.NewTimer(replyTimeout)
 	defer replyTimer.Stop()
 	for len(s.pending) > 0 {
@@ -169,8 +177,14 @@
 			if len(s.offers) > 0 {
 				return s.cheapest(), true
 			}
+		case <-stopping:
+			stopping = nil
+			if latest, limited := s.latestStart(); limited && latest.Before(until) {
+				timeoutReason = ErrStopping.Error()
+				waitTimer.Reset(max(0, latest.Sub(s.router.clock.Now())))
+			}
 		case <-waitTimer.Chan():
-			s.reason = "no place in time"
+			s.reason = timeoutReason
 			return offer{}, false
 		case <-ctx.Done():
 			s.reason = "timeout before a place was found"
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -96,7 +96,8 @@
 	inbox             *task.Inbox[message]
 	requestChart      *chart.Chart
 	snapshot          fleet.Snapshot
-	stop              stopTimes
+	stop              atomic.Pointer[stopTimes]
+	stopping          chan struct{} // closed once stop is set
 	local             *server
 	servers           map[string][]*server
 	selectors         map[string]*weightedSelector
@@ -155,7 +156,7 @@
 		return nil, err
 	}
 	return &Router{
-		config: config, clock: clock, log: log, observer: observer, inbox: task.NewInbox[message](inboxSize), requestChart: requestChart,
+		config: config, clock: clock, log: log, observer: observer, inbox: task.NewInbox[message](inboxSize), requestChart: requestChart, stopping: make(chan struct{}),
 		servers: map[string][]*server{}, selectors: map[string]*weightedSelector{}, budgets: map[string]*budget{}, meanLatencies: map[string]time.Duration{}, nodeCount: 1,
 	}, nil
 }
@@ -184,11 +185,12 @@
 // SetNodeCount sets the number of nodes that share the retry budgets.
 func (r *Router) SetNodeCount(count int) { r.inbox.Send(message{nodeCount: &count}) }
 
-// StopAt announces that the node stops at end. A call received after lastAccepted
-// is then refused at once unless its time is over by end, so that no server is at
-// work for a caller that cannot be answered.
-func (r *Router) StopAt(lastAccepted, end time.Time) {
-	r.inbox.Send(message{stop: &stopTimes{lastAccepted: lastAccepted, end: end}})
+// StopAt announces that the process ends. A call that may outlive it is then refused at
+// once if it is read after lastAccepted, and otherwise once no server could start on it
+// early enough, also while it waits for a slot: an answer that it was not run lets the
+// caller go elsewhere, which a closed connection does not.
+func (r *Router) StopAt(lastAccepted time.Time, shutdown upstream.Shutdown) {
+	r.inbox.Send(message{stop: &stopTimes{lastAccepted: lastAccepted, shutdown: shutdown}})
 }
 
 // ActiveRequests returns the number of requests in progress.
@@ -227,12 +229,19 @@
 	case m.nodeCount != nil:
 		r.nodeCount = *m.nodeCount
 	case m.stop != nil:
-		r.stop = *m.stop
+		r.setStop(m.stop)
 	case m.dump != nil:
 		m.dump <- r.dump()
 	}
 }
 
+// setStop records when the process ends and wakes the calls that wait for a slot.
+func (r *Router) setStop(s *stopTimes) {
+	if r.stop.Swap(s) == nil {
+		close(r.stopping)
+	}
+}
+
 func (r *Router) dump() Dump {
 	d := Dump{version: r.snapshot.Version(), servers: map[string][]string{}, retryTokens: map[string]float64{}}
 	for service, list := range r.servers {
@@ -264,7 +273,7 @@
 	}
 	service := r.selectors[key].next(route.Services())
 	r.budget(service).deposit(r.clock.Now(), r.config.retryLimits, r.nodeCount, 1)
-	return plan{route: route, service: service, version: r.snapshot.Version(), stop: r.stop, meanLatency: r.meanLatencies[key], candidates: r.candidates(service, nil)}, nil
+	return plan{route: route, service: service, version: r.snapshot.Version(), meanLatency: r.meanLatencies[key], candidates: r.candidates(service, nil)}, nil
 }
 
 // routeKey identifies a route across versions of the configuration.
--- a/savorygap-node/internal/pipeline/stop_test.go
+++ b/savorygap-node/internal/pipeline/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -45,6 +46,76 @@
 	}
 }
 
+// patientRoute has requests that may wait for a slot and take for longer than a planned
+// stop lasts.
+const patientRoute = `,{"Name":"patient","PathPrefix":"/patient/","Kind":"unsafe","TimeoutS":30,"TargetLatencyS":15,"Priority":1,"Service":"shop","Attempts":2}`
+
+// sendOrder sends an order of the patient route, with a deadline of 30 s, on a connection
+// of its own.
+func (h *host) sendOrder(id string) (result, error) {
+	return h.sendWithin(context.Background(), "30000", http.MethodPost, "/patient/1", id, "")
+}
+
+// TestStoppingNode_AnswersWhatWaitsForASlot guards against orders that are dropped without
+// an answer at a planned stop because they still wait for a slot when the process ends.
+// Another node keeps the server busy all the while.
+func TestStoppingNode_AnswersWhatWaitsForASlot(t *testing.T) {
+	const (
+		callers = 20                      // at each node; the server has 10 slots
+		maxWait = 4500 * time.Millisecond // 0.3 of the latency objective of the route
+	)
+	cl := newCluster(t)
+	cl.store.Put("op/config", configuration(2, patientRoute))
+	a, other := cl.addHost(t, "till", 0), cl.addHost(t, "till", 0)
+	cl.addHost(t, "shop", 1500*time.Millisecond)
+	for _, h := range []*host{a, other} {
+		eventually(t, 10*time.Second, func() bool { r, err := h.sendOrder("first"); return err == nil && r.status == http.StatusOK })
+	}
+	statuses := make(chan int, 1<<12)
+	var group, others sync.WaitGroup
+	stop := make(chan struct{})
+	for n := range callers {
+		group.Go(func() {
+			time.Sleep(time.Duration(n) * maxWait / callers)
+			a.sendOrders(fmt.Sprint("caller-", n), stop, statuses)
+		})
+		others.Go(func() { other.sendOrders(fmt.Sprint("other-", n), a.done, nil) })
+	}
+	time.Sleep(2 * maxWait)
+	a.signals <- syscall.SIGTERM
+	time.Sleep(2500 * time.Millisecond)
+	close(stop)
+	group.Wait()
+	others.Wait()
+	close(statuses)
+	counts := map[int]int{}
+	for status := range statuses {
+		counts[status]++
+	}
+	must.Eq(t, 0, counts[0], must.Sprint("without an answer; by status: ", counts))
+	must.Positive(t, counts[http.StatusOK], must.Sprint(counts))
+	must.Positive(t, counts[http.StatusServiceUnavailable], must.Sprint(counts))
+}
+
+// sendOrders sends one order after the other until stop is closed, and the status of each
+// answer to statuses, unless it is nil; 0 stands for a connection that ended without one.
+func (h *host) sendOrders(name string, stop <-chan struct{}, statuses chan<- int) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		r, _ := h.sendOrder(fmt.Sprint(name, "-", i))
+		if statuses != nil {
+			statuses <- r.status
+		}
+		if r.status != http.StatusOK {
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
 // pipeliningCaller sends two requests at a time on a connection, which it keeps or
 // opens anew each time, and passes on the ids of those that were answered.
 type pipeliningCaller struct {
--- a/savorygap-node/internal/process/lifecycle.go
+++ b/savorygap-node/internal/process/lifecycle.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"savorygap.example/lib/chart"
+	"savorygap.example/lib/upstream"
 )
 
 const (
@@ -25,11 +26,15 @@
 	// further requests. By then two readiness probes have failed.
 	drainMoveDelay = 2200 * time.Millisecond
 	// drainLastAccepted is the time from which on a draining node accepts only requests
-	// whose time is over before the process ends.
+	// whose time is over before the process ends. Until then it accepts those as well that
+	// a server can be expected to end by then.
 	drainLastAccepted = 2800 * time.Millisecond
 	// drainGraceMargin is how long before the end of the grace period the process
 	// stops waiting for requests.
 	drainGraceMargin = 500 * time.Millisecond
+	// drainAnswerMargin is how long before that the last answers are due, so that they
+	// are written by then.
+	drainAnswerMargin = 100 * time.Millisecond
 	// drainCheckInterval is how often a draining node checks whether its work is
 	// done.
 	drainCheckInterval = 50 * time.Millisecond
@@ -92,8 +97,9 @@
 func (p *Process) stopListening() {
 	now := p.clock.Now()
 	p.draining = &drainState{startedAt: now, ticks: p.clock.NewTicker(drainCheckInterval).Chan()}
+	shutdown := upstream.NewShutdown(now.Add(p.drainTime() - drainAnswerMargin))
 	if p.router != nil {
-		p.router.StopAt(now.Add(drainLastAccepted), now.Add(p.drainTime()))
+		p.router.StopAt(now.Add(drainLastAccepted), shutdown)
 	}
 }
 
