fix(dispatch): a stopping node refuses uploads whose body comes late

Report of another operator: requests that came late in the grace were passed on and cut at its end. Callers would see a connection that closes while a server is at work on an upload. Cause: the time until which a stopping node accepts was compared with that of the header; a body may follow seconds later. Change: the time at which the call is handled counts.

--- a/lib/dispatch/dispatch_test.go
+++ b/lib/dispatch/dispatch_test.go
@@ -352,6 +352,20 @@
 	}
 }
 
+// TestServe_StoppingNodeCountsWhenABodyWasRead guards against a planned stop that cuts off
+// an upload: its header came early in the grace period, and its body late.
+func TestServe_StoppingNodeCountsWhenABodyWasRead(t *testing.T) {
+	a := newFakeServer("a", "shop", 1)
+	a.finalEvent = respondWith(http.StatusOK)
+	r := newRouter(t, a)
+	must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/order/1", "first")).Status())
+	now := time.Now()
+	r.StopAt(now.Add(-10*time.Millisecond), upstream.NewShutdown(now.Add(100*time.Millisecond)))
+	got := r.Serve(context.Background(), callAt(now.Add(-20*time.Millisecond), "/order/1", "id"))
+	must.Eq(t, http.StatusServiceUnavailable, got.Status())
+	must.Eq(t, 1, len(a.submitted))
+}
+
 // TestServe_SilentNodeIsWaitedForUnlessIdempotent has the node beside a server fall
 // silent while the server is at work. An order must be neither given up nor sent
 // elsewhere; a read is sent to another server.
--- a/lib/dispatch/shutdown.go
+++ b/lib/dispatch/shutdown.go
@@ -2,10 +2,11 @@
 
 import "time"
 
-// comesTooLate reports whether the node stops and no longer accepts the call.
+// comesTooLate reports whether the node stops and no longer accepts the call. The time at
+// which it was read counts, which for a long body is later than that of its header.
 func (p *pendingCall) comesTooLate() bool {
 	stop := p.router.stop.Load()
-	return stop != nil && p.call.received.After(stop.lastAccepted) && stop.shutdown.Outlives(p.deadline)
+	return stop != nil && p.router.clock.Now().After(stop.lastAccepted) && stop.shutdown.Outlives(p.deadline)
 }
 
 // latestStart returns the last time at which a server may start on the call, because
--- a/savorygap-node/internal/pipeline/stop_test.go
+++ b/savorygap-node/internal/pipeline/stop_test.go
@@ -116,6 +116,33 @@
 	}
 }
 
+// TestStoppingNode_RefusesUploadWhoseBodyComesLate guards against uploads that are cut off
+// at the end of the grace period: their header was read early in it, their body late.
+func TestStoppingNode_RefusesUploadWhoseBodyComesLate(t *testing.T) {
+	cl := newCluster(t)
+	cl.store.Put("op/config", configuration(2, patientRoute))
+	a, b := cl.addHost(t, "till", 0), cl.addHost(t, "shop", 2600*time.Millisecond)
+	eventually(t, 10*time.Second, func() bool { r, err := a.sendOrder("first"); return err == nil && r.status == http.StatusOK })
+	takeRequestIDs(b.server)
+	conn, err := net.Dial("tcp", a.addresses["callers"])
+	must.NoError(t, err)
+	defer func() { _ = conn.Close() }()
+	must.NoError(t, conn.SetDeadline(time.Now().Add(15*time.Second)))
+	a.signals <- syscall.SIGTERM
+	stopped := time.Now()
+	_, err = io.WriteString(conn, "POST /patient/1 HTTP/1.1\r\nHost: farm.example\r\nSavorygap-Attempt-Id: upload\r\nSavorygap-Deadline-Ms: 30000\r\nContent-Length: 2\r\n\r\nx")
+	must.NoError(t, err)
+	time.Sleep(time.Until(stopped.Add(3 * time.Second)))
+	_, err = io.WriteString(conn, "x")
+	must.NoError(t, err)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	must.NoError(t, err)
+	must.Eq(t, http.StatusServiceUnavailable, response.StatusCode)
+	must.NoError(t, response.Body.Close())
+	must.Eq(t, 0, len(takeRequestIDs(b.server)))
+	<-a.done
+}
+
 // pipeliningCaller sends two requests at a time on a connection, which it keeps or
 // opens anew each time, and passes on the ids of those that were answered.
 type pipeliningCaller struct {
