--- a/lib/dispatch/reserve.go
+++ b/lib/dispatch/reserve.go
@@ -118,7 +118,8 @@
 // queue.
 func (p *pendingCall) slotRequest(maxWait time.Duration) upstream.SlotRequest {
 	return upstream.NewSlotRequest(p.plan.service, p.plan.route.Priority()).WithNested(p.call.nested).WithMaxWait(maxWait).
-		WithRequestID(p.call.request.ID()).WithSlowdownNotice(p.mayHedge())
+		WithRequestID(p.call.request.ID()).WithSlowdownNotice(p.mayHedge()).
+		WithTimes(p.deadline.Sub(p.router.clock.Now()), p.expectedLatency())
 }
 
 // maxWait returns how long the request may queue.
--- a/lib/link/codec.go
+++ b/lib/link/codec.go
@@ -130,8 +130,9 @@
 		return encodeServerState(newEncoder(typeHello, 160).text(1, h.node).text(2, h.address).text(3, h.dataCentre).varint(4, h.versions.configuration).varint(5, h.versions.evacuation).float(6, h.bandwidth), h.serverState).frame()
 	case m.slotRequest != nil:
 		r := m.slotRequest.slotRequest
-		return newEncoder(typeSlotRequest, 80).varint(1, m.slotRequest.number).text(2, r.Service()).varint(3, uint64(max(r.Priority(), 0))).
-			flag(4, r.IsNested()).duration(5, r.MaxWait()).text(6, r.RequestID()).flag(7, r.WantsSlowdownNotice()).float(8, r.MaxSlowness()).frame()
+		return newEncoder(typeSlotRequest, 96).varint(1, m.slotRequest.number).text(2, r.Service()).varint(3, uint64(max(r.Priority(), 0))).
+			flag(4, r.IsNested()).duration(5, r.MaxWait()).text(6, r.RequestID()).flag(7, r.WantsSlowdownNotice()).float(8, r.MaxSlowness()).
+			duration(9, r.TimeLeft()).duration(10, r.ExpectedLatency()).frame()
 	case m.event != nil:
 		return encodeEvent(*m.event)
 	case m.withdraw != nil:
--- a/lib/link/decode.go
+++ b/lib/link/decode.go
@@ -99,7 +99,7 @@
 		return Message{hello: &Hello{node: f.text(1), address: f.text(2), dataCentre: f.text(3), versions: NewVersions(f.numbers[4], f.numbers[5]), bandwidth: math.Float64frombits(f.numbers[6]), serverState: f.serverState()}}, true, nil
 	case typeSlotRequest:
 		r := upstream.NewSlotRequest(f.text(2), f.count(3)).WithNested(f.numbers[4] != 0).WithMaxWait(f.duration(5)).WithRequestID(f.text(6)).WithSlowdownNotice(f.numbers[7] != 0).
-			WithMaxSlowness(math.Float64frombits(f.numbers[8]))
+			WithMaxSlowness(math.Float64frombits(f.numbers[8])).WithTimes(f.duration(9), f.duration(10))
 		return Message{slotRequest: &numberedSlotRequest{number: number, slotRequest: r}}, true, nil
 	case typeEvent:
 		return decodeEvent(f)
--- a/lib/link/link_test.go
+++ b/lib/link/link_test.go
@@ -100,10 +100,10 @@
 func TestRequestAndResponseAreTransferredInParts(t *testing.T) {
 	a, b, _ := pair(t)
 	events := make(chan upstream.Event, upstream.MaxEvents)
-	a.link.Endpoint().Reserve(7, upstream.NewSlotRequest("shop", 2).WithNested(true).WithMaxWait(90*time.Millisecond).WithRequestID("id-1").WithSlowdownNotice(true).WithMaxSlowness(1.5), events)
+	a.link.Endpoint().Reserve(7, upstream.NewSlotRequest("shop", 2).WithNested(true).WithMaxWait(90*time.Millisecond).WithRequestID("id-1").WithSlowdownNotice(true).WithMaxSlowness(1.5).WithTimes(3*time.Second, 80*time.Millisecond), events)
 	incoming := <-b.slotRequests
 	must.Eq(t, uint64(7), incoming.key.Number())
-	must.Eq(t, upstream.NewSlotRequest("shop", 2).WithNested(true).WithMaxWait(90*time.Millisecond).WithRequestID("id-1").WithSlowdownNotice(true).WithMaxSlowness(1.5), incoming.request)
+	must.Eq(t, upstream.NewSlotRequest("shop", 2).WithNested(true).WithMaxWait(90*time.Millisecond).WithRequestID("id-1").WithSlowdownNotice(true).WithMaxSlowness(1.5).WithTimes(3*time.Second, 80*time.Millisecond), incoming.request)
 	incoming.reply(upstream.NewEvent(upstream.Offered, 7).WithCost(1.25))
 	offered := <-events
 	must.Eq(t, 1.25, offered.Cost())
--- a/lib/serverproxy/messages.go
+++ b/lib/serverproxy/messages.go
@@ -22,6 +22,7 @@
 	departure   *departureMessage
 	snapshot    *Snapshot
 	checkResult *healthResult
+	stop        *upstream.Shutdown
 	drain       bool
 	dump        task.Reply[Dump]
 }
@@ -126,6 +127,8 @@
 		p.handleSnapshot(*m.snapshot)
 	case m.checkResult != nil:
 		p.handleHealthResult(m.checkResult)
+	case m.stop != nil:
+		p.handleStop(*m.stop)
 	case m.drain:
 		p.fireIfAccepted(eventDrain)
 	case m.dump != nil:
@@ -216,6 +219,10 @@
 // InFlight returns the number of requests in flight to the server.
 func (p *Proxy) InFlight() int { return int(p.inFlight.Load()) }
 
+// StopAt announces that the process ends. Requests that may outlive it are refused from
+// then on, in time for their senders to go elsewhere.
+func (p *Proxy) StopAt(shutdown upstream.Shutdown) { p.inbox.Send(message{stop: &shutdown}) }
+
 // Drain stops admitting new requests; requests in flight continue.
 func (p *Proxy) Drain() { p.inbox.Send(message{drain: true}) }
 
--- a/lib/serverproxy/proxy.go
+++ b/lib/serverproxy/proxy.go
@@ -127,9 +127,11 @@
 	leaving     bool
 	meanLatency time.Duration
 	lastTickAt  time.Time
-	hooks       Hooks
-	observer    Observer
-	published   ServerState
+	// shutdown is when the process ends, zero unless it stops.
+	shutdown  upstream.Shutdown
+	hooks     Hooks
+	observer  Observer
+	published ServerState
 }
 
 // Observer receives measurements through its function fields.
@@ -162,8 +164,9 @@
 // pendingRequest is a slot request together with the function that receives its
 // events.
 type pendingRequest struct {
-	request upstream.SlotRequest
-	reply   func(upstream.Event)
+	request  upstream.SlotRequest
+	deadline time.Time // zero if unknown
+	reply    func(upstream.Event)
 }
 
 // New returns a proxy.
@@ -283,6 +286,7 @@
 	now := p.clock.Now()
 	p.noticePause(now)
 	p.lastTickAt = now
+	p.refuseOutliving(now)
 	p.advanceQueue(now)
 	p.health.checkIfDue(now, p)
 	p.logSendRate(now)
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -54,8 +54,13 @@
 		return
 	}
 	now := p.clock.Now()
+	pending := newPendingRequest(now, m)
+	if p.outlivesProcess(now, pending) {
+		m.reply(upstream.NewEvent(upstream.Refused, m.key.Number()).WithReason(reasonStopping).WithRetryAfter(p.retryAfter()))
+		return
+	}
 	p.health.recordRequest(now)
-	p.requests[m.key] = pendingRequest{request: m.request, reply: m.reply}
+	p.requests[m.key] = pending
 	p.reportDecision(p.slotLimiter.Reserve(now, m.key, limiter.NewRequest(m.request.Priority(), m.request.IsNested(), m.request.MaxWait()).WithMaxSlowness(m.request.MaxSlowness())))
 }
 
@@ -120,7 +125,7 @@
 	if !ok {
 		return
 	}
-	if !p.admits() || remaining <= 0 || !p.slotLimiter.Start(now, m.key) {
+	if !p.admits() || remaining <= 0 || p.outlivesProcess(now, pending) || !p.slotLimiter.Start(now, m.key) {
 		delete(p.requests, m.key)
 		p.slotLimiter.Withdraw(m.key)
 		pending.reply(upstream.NewEvent(upstream.NotRun, m.key.Number()).WithReason("the place was given up").WithRetryAfter(minRetryAfter))
--- a/lib/upstream/upstream.go
+++ b/lib/upstream/upstream.go
@@ -36,6 +36,8 @@
 	requestID      string
 	slowdownNotice bool
 	maxSlowness    float64
+	timeLeft       time.Duration
+	latency        time.Duration
 }
 
 // NewSlotRequest returns a request for a slot at a server of the service.
@@ -78,6 +80,20 @@
 	return r
 }
 
+// WithTimes returns the request with the time left until its deadline, and how long the
+// server is expected to take for it. A node that stops refuses what would outlive it; a
+// time left of 0 means that it is not known.
+func (r SlotRequest) WithTimes(timeLeft, expectedLatency time.Duration) SlotRequest {
+	r.timeLeft, r.latency = timeLeft, expectedLatency
+	return r
+}
+
+// TimeLeft returns the time left until the deadline of the HTTP request, 0 if unknown.
+func (r SlotRequest) TimeLeft() time.Duration { return r.timeLeft }
+
+// ExpectedLatency returns how long the server is expected to take.
+func (r SlotRequest) ExpectedLatency() time.Duration { return r.latency }
+
 // MaxSlowness returns the largest slowness of the server at which the HTTP
 // request is worth starting, 0 for any.
 func (r SlotRequest) MaxSlowness() float64 { return r.maxSlowness }
--- a/savorygap-node/internal/pipeline/stop_test.go
+++ b/savorygap-node/internal/pipeline/stop_test.go
@@ -143,6 +143,40 @@
 	<-a.done
 }
 
+// TestStoppingNode_TakesNoWorkOfOthersThatOutlivesIt guards against orders that are broken
+// off because the node beside the server stops: it took them from another node, which can
+// only tell its caller then that the outcome is unknown.
+func TestStoppingNode_TakesNoWorkOfOthersThatOutlivesIt(t *testing.T) {
+	cl := newCluster(t)
+	cl.store.Put("op/config", configuration(2, patientRoute))
+	a, b := cl.addHost(t, "till", 0), cl.addHost(t, "shop", 3500*time.Millisecond)
+	eventually(t, 10*time.Second, func() bool { r, err := a.sendOrder("first"); return err == nil && r.status == http.StatusOK })
+	takeRequestIDs(b.server)
+	b.signals <- syscall.SIGTERM
+	statuses := make(chan int, 1<<10)
+	var group sync.WaitGroup
+	for n := range 4 {
+		time.Sleep(700 * time.Millisecond)
+		group.Go(func() {
+			r, err := a.sendOrder(fmt.Sprint("order-", n))
+			must.NoError(t, err)
+			statuses <- r.status
+		})
+	}
+	group.Wait()
+	close(statuses)
+	served := 0
+	for status := range statuses {
+		must.SliceContains(t, []int{http.StatusOK, http.StatusServiceUnavailable}, status)
+		if status == http.StatusOK {
+			served++
+		}
+	}
+	must.Eq(t, served, len(takeRequestIDs(b.server)))
+	must.Less(t, 4, served)
+	<-b.done
+}
+
 // pipeliningCaller sends two requests at a time on a connection, which it keeps or
 // opens anew each time, and passes on the ids of those that were answered.
 type pipeliningCaller struct {
--- a/savorygap-node/internal/process/lifecycle.go
+++ b/savorygap-node/internal/process/lifecycle.go
@@ -101,6 +101,9 @@
 	if p.router != nil {
 		p.router.StopAt(now.Add(drainLastAccepted), shutdown)
 	}
+	if p.serverProxy != nil {
+		p.serverProxy.StopAt(shutdown)
+	}
 }
 
 // drainTime returns how long the process waits for requests after the signal.
