fix(serverproxy): a departure without a start applies to the instance (DRAIN)

Users saw requests reach a server whose leaving the same host had acknowledged. Cause: a server that leaves states no start; the node recorded 0, so that after a restart a delayed heartbeat counted as one of a later instance and opened the server. Change: Leave returns the announced start, or the present time if none was announced; that is recorded. Whether it is the users' case is suspected: their record lacks the messages of the server.

--- a/lib/serverproxy/advisory.go
+++ b/lib/serverproxy/advisory.go
@@ -57,7 +57,7 @@
 		return
 	}
 	if a.Leaving() {
-		p.recordLeaving(now, source)
+		p.recordLeaving(source)
 	}
 	if a.Err() != nil {
 		p.log.Write("rate-limit-unreadable", "instance", p.instance, "source", source, "error", a.Err().Error())
@@ -100,17 +100,12 @@
 // recordLeaving drains the server, which states in its responses that it leaves, and
 // has the node pass that on: a later process of this node must not use the server
 // either, and the server may not have announced anything yet.
-func (p *Proxy) recordLeaving(now time.Time, source string) {
+func (p *Proxy) recordLeaving(source string) {
 	if p.leaving {
 		return
 	}
 	p.leaving = true
-	// Without an announcement the start of the instance is unknown. Any instance that
-	// starts from now on is another one.
-	startedAt := now.UnixMilli()
-	if p.announced {
-		startedAt = p.latest.startedAt
-	}
+	startedAt := p.latestStartOf(p.instance)
 	p.log.Write("server-leaving", "instance", p.instance, "source", source, "born", startedAt, "announced", p.announced)
 	p.handleDeparture(&departureMessage{id: p.instance, startedAt: startedAt})
 	p.hooks.leaving(p.instance, startedAt)
--- a/lib/serverproxy/instance.go
+++ b/lib/serverproxy/instance.go
@@ -34,7 +34,7 @@
 		p.setColdStart(a.coldRemaining)
 	}
 	if a.draining {
-		p.fireIfAccepted(eventDrain)
+		p.handleDeparture(&departureMessage{id: a.id, startedAt: a.startedAt})
 	}
 	return true
 }
@@ -53,17 +53,32 @@
 	p.drainIfDeparted()
 }
 
-// handleLeave drains an instance that is leaving. It returns true for any other
-// instance too, because this node sends it no requests.
-func (p *Proxy) handleLeave(id string, startedAt int64) bool {
-	if id != p.instance || startedAt > 0 && startedAt < p.latest.startedAt {
+// handleLeave drains an instance that is leaving and returns its start time. It accepts
+// any other instance too, because this node sends it no requests.
+func (p *Proxy) handleLeave(id string, startedAt int64) int64 {
+	present := id == p.instance && (startedAt == 0 || startedAt >= p.latest.startedAt)
+	if startedAt == 0 {
+		startedAt = p.latestStartOf(id)
+	}
+	if !present {
 		p.log.Write("leave-of-another", "instance", id, "born", startedAt, "present", p.instance, "present_born", p.latest.startedAt)
-		p.handleDeparture(&departureMessage{id: id, startedAt: startedAt})
-		return true
 	}
-	p.fireIfAccepted(eventDrain)
-	p.fireIfAccepted(eventLeave)
-	return true
+	p.handleDeparture(&departureMessage{id: id, startedAt: startedAt})
+	if present {
+		p.fireIfAccepted(eventDrain)
+		p.fireIfAccepted(eventLeave)
+	}
+	return startedAt
+}
+
+// latestStartOf returns the latest time at which the instance may have been started, in
+// Unix milliseconds. Unless the instance has announced it to this process, that is now: a
+// departure recorded with an earlier time would not apply to a delayed announcement.
+func (p *Proxy) latestStartOf(id string) int64 {
+	if id == p.instance && p.announced {
+		return p.latest.startedAt
+	}
+	return p.clock.Now().UnixMilli()
 }
 
 // handleDeparture remembers an instance that is leaving, so that it receives no
--- a/lib/serverproxy/messages.go
+++ b/lib/serverproxy/messages.go
@@ -53,7 +53,7 @@
 type leaveMessage struct {
 	id        string
 	startedAt int64
-	reply     task.Reply[bool]
+	reply     task.Reply[int64]
 }
 
 type departureMessage struct {
@@ -202,15 +202,15 @@
 	p.inbox.Send(message{departure: &departureMessage{id: id, startedAt: startedAt}})
 }
 
-// Leave drains the instance because it is leaving. startedAt is its start time
-// in Unix milliseconds, or 0 if unknown.
-func (p *Proxy) Leave(ctx context.Context, id string, startedAt int64) bool {
-	reply := task.NewReply[bool]()
+// Leave drains the instance because it is leaving. startedAt is its start time in Unix
+// milliseconds, or 0 if the instance does not state it. Leave returns the start time up to
+// which the instance counts as having left. It returns false when the task has stopped.
+func (p *Proxy) Leave(ctx context.Context, id string, startedAt int64) (int64, bool) {
+	reply := task.NewReply[int64]()
 	if !p.inbox.Send(message{leave: &leaveMessage{id: id, startedAt: startedAt, reply: reply}}) {
-		return false
+		return 0, false
 	}
-	accepted, ok := reply.Wait(ctx, p.inbox.Done())
-	return ok && accepted
+	return reply.Wait(ctx, p.inbox.Done())
 }
 
 // SetSnapshot applies a new configuration.
--- a/savorygap-node/internal/pipeline/restart_test.go
+++ b/savorygap-node/internal/pipeline/restart_test.go
@@ -1,6 +1,7 @@
 package pipeline_test
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -30,3 +31,45 @@
 	cl.store.SetUnavailable(false)
 	eventually(t, 4*time.Second, func() bool { return len(cl.store.Keys("savorygap/departure/")) == 1 })
 }
+
+// leave has the host's server leave without an announcement that it drains.
+func (h *host) leave(t *testing.T) {
+	t.Helper()
+	status, err := h.server.AnnounceDeparture(context.Background(), h.addresses["announcements"])
+	must.NoError(t, err)
+	must.Eq(t, http.StatusOK, status)
+}
+
+// restart starts the host's node again at once and waits until callers may be sent to it.
+func (h *host) restart(t *testing.T) {
+	t.Helper()
+	h.kill()
+	h.start(t)
+	eventually(t, 10*time.Second, func() bool { ready, _ := h.process.Ready(); return ready })
+}
+
+// mustNotUse sends reads to the nodes, none of which may reach the server of h.
+func (h *host) mustNotUse(t *testing.T, nodes ...*host) {
+	t.Helper()
+	takeRequestIDs(h.server)
+	for _, node := range nodes {
+		for range 10 {
+			must.Eq(t, http.StatusServiceUnavailable, node.mustSend(t, http.MethodGet, "/read/1", "late", "").status)
+		}
+	}
+	must.Eq(t, 0, len(takeRequestIDs(h.server)))
+}
+
+// TestRestartedNode_DelayedHeartbeatReopensNoServer guards against requests to a server
+// whose leaving was acknowledged. It has never announced that it drains, its node starts
+// again, and a heartbeat from before arrives late.
+func TestRestartedNode_DelayedHeartbeatReopensNoServer(t *testing.T) {
+	cl := newCluster(t)
+	a, b := cl.addHost(t, "till", 0), cl.addHost(t, "shop", 0)
+	b.server.SetUnhealthy(true)
+	b.leave(t)
+	b.restart(t)
+	b.announce(t, "ready")
+	time.Sleep(time.Second)
+	b.mustNotUse(t, a, b)
+}
--- a/savorygap-node/internal/servers/servers.go
+++ b/savorygap-node/internal/servers/servers.go
@@ -71,7 +71,8 @@
 		return true
 	}
 	leave := func(ctx context.Context, id string, startedAt int64) bool {
-		if !p.ServerProxy().Leave(ctx, id, startedAt) {
+		startedAt, ok := p.ServerProxy().Leave(ctx, id, startedAt)
+		if !ok {
 			return false
 		}
 		recordDeparture(ctx, p, id, startedAt)
