fix(servers): a departure is acknowledged once the store or a peer knows it

Callers' requests could reach a server whose leaving was acknowledged, after a restart of its node. Cause: with the store out of reach and no peer linked, the acknowledgement was given although only the process knew of it. Nodes have no disk. Evidence: TestDeparture_IsAcknowledgedOnceAnotherKnowsIt got 200 in place of 409 on the code before. Change: the node refuses such an announcement; it sends the server nothing in any case, and the server repeats what is not acknowledged. The log line departure says how many peers were told. Measured: the tests of restarts and departures, of link and fleet pass with -race.

--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -224,16 +224,20 @@
 
 // RecordDeparture tells the peers that the server on this host leaves, and waits until
 // the messages are written or ctx ends. They tell a later process of this node, in
-// case the store does not have the record by then.
-func (f *Fleet) RecordDeparture(ctx context.Context, r registry.Record) {
+// case the store does not have the record by then. It returns how many peers were told.
+func (f *Fleet) RecordDeparture(ctx context.Context, r registry.Record) int {
 	m := &departureMessage{record: r, reply: task.NewReply[[]*link.Link]()}
 	if !f.inbox.Send(message{departure: m}) {
-		return
+		return 0
 	}
 	links, _ := m.reply.Wait(ctx, f.inbox.Done())
+	told := 0
 	for _, l := range links {
-		l.AwaitSent(ctx)
+		if l.AwaitSent(ctx) {
+			told++
+		}
 	}
+	return told
 }
 
 // SetServerState sends the state of the server on this host to the peers. It never
--- a/lib/link/exchange.go
+++ b/lib/link/exchange.go
@@ -105,20 +105,20 @@
 }
 
 // AwaitSent waits until everything that was queued before is written to the
-// connection, the link ends or ctx ends.
-func (l *Link) AwaitSent(ctx context.Context) {
+// connection. It returns false if the link or ctx ends first.
+func (l *Link) AwaitSent(ctx context.Context) bool {
 	for {
 		select {
 		case l.writing <- struct{}{}:
 		case <-l.inbox.Done():
-			return
+			return false
 		case <-ctx.Done():
-			return
+			return false
 		}
 		// No goroutine writes now.
 		<-l.writing
 		if len(l.sendQueue) == 0 {
-			return
+			return true
 		}
 		l.startWriter()
 	}
--- a/savorygap-node/internal/pipeline/restart_test.go
+++ b/savorygap-node/internal/pipeline/restart_test.go
@@ -73,3 +73,31 @@
 	time.Sleep(time.Second)
 	b.mustNotUse(t, a, b)
 }
+
+// TestDeparture_IsAcknowledgedOnceAnotherKnowsIt guards against an acknowledgement that a
+// restart of the node forgets: neither the store nor a peer can be told.
+func TestDeparture_IsAcknowledgedOnceAnotherKnowsIt(t *testing.T) {
+	cl := newCluster(t)
+	b := cl.addHost(t, "shop", 0)
+	cl.store.SetUnavailable(true)
+	for _, call := range []func() (int, error){
+		func() (int, error) {
+			return b.server.Announce(context.Background(), b.addresses["announcements"], "draining")
+		},
+		func() (int, error) {
+			return b.server.AnnounceDeparture(context.Background(), b.addresses["announcements"])
+		},
+	} {
+		status, err := call()
+		must.NoError(t, err)
+		must.Eq(t, http.StatusConflict, status)
+		b.mustNotUse(t, b)
+	}
+	cl.store.SetUnavailable(false)
+	eventually(t, 4*time.Second, func() bool { return len(cl.store.Keys("savorygap/departure/")) == 1 })
+	b.leave(t)
+	b.restart(t)
+	b.announce(t, "ready")
+	time.Sleep(500 * time.Millisecond)
+	b.mustNotUse(t, b)
+}
--- a/savorygap-node/internal/servers/servers.go
+++ b/savorygap-node/internal/servers/servers.go
@@ -65,18 +65,14 @@
 		if !p.ServerProxy().Announce(ctx, a) {
 			return false
 		}
-		if a.IsDraining() {
-			recordDeparture(ctx, p, a.ID(), a.StartedAt())
-		}
-		return true
+		return !a.IsDraining() || recordDeparture(ctx, p, a.ID(), a.StartedAt())
 	}
 	leave := func(ctx context.Context, id string, startedAt int64) bool {
 		startedAt, ok := p.ServerProxy().Leave(ctx, id, startedAt)
 		if !ok {
 			return false
 		}
-		recordDeparture(ctx, p, id, startedAt)
-		return true
+		return recordDeparture(ctx, p, id, startedAt)
 	}
 	return p.Serve(p.Settings().AnnouncementsAddress(), platform.AnnouncementHandler(announce, leave, p.Log()))
 }
@@ -100,18 +96,20 @@
 }
 
 // recordDeparture writes to the store, and tells the other nodes, that an instance
-// leaves. If the store does not confirm this in time, the departure is acknowledged
-// nevertheless: this process honours it already, and the registrar repeats the write
-// until it succeeds.
-func recordDeparture(ctx context.Context, p *process.Process, id string, startedAt int64) {
+// leaves. It reports whether the departure may be acknowledged: the store or a peer must
+// know of it, so that a later process of this node honours it too. This process honours
+// it in any case, and the registrar repeats the write until it succeeds.
+func recordDeparture(ctx context.Context, p *process.Process, id string, startedAt int64) bool {
 	ctx, cancel := context.WithTimeout(ctx, departureTimeout)
 	defer cancel()
 	tell, told := context.WithTimeout(ctx, peersTimeout)
-	p.Fleet().RecordDeparture(tell, registry.NewDeparture(p.Settings().Host(), id, startedAt))
+	peers := p.Fleet().RecordDeparture(tell, registry.NewDeparture(p.Settings().Host(), id, startedAt))
 	told()
 	result := "written"
-	if err := p.Registrar().RecordDeparture(ctx, id, startedAt); err != nil {
+	err := p.Registrar().RecordDeparture(ctx, id, startedAt)
+	if err != nil {
 		result = "not written yet: " + err.Error()
 	}
-	p.Log().Write("departure", "instance", id, "born", startedAt, "entry", result)
+	p.Log().Write("departure", "instance", id, "born", startedAt, "entry", result, "peers_told", peers)
+	return err == nil || peers > 0
 }
