fix(upstream): the memory of all bodies is bounded from their first to their last byte

Cause: bodies counted while an answer was read, or once a request was complete, and not at all on links; each hop copied them. Change: one account for bodies of requests, one for responses, reserved before reading and free once the collector finds them unused; nothing is copied to be sent. Answers wait for memory, requests are refused as not run.

--- a/lib/frontend/body.go
+++ b/lib/frontend/body.go
@@ -2,29 +2,31 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
+
+	"savorygap.example/lib/upstream"
 )
 
 const (
 	// maxChunkLineBytes bounds the line that holds a chunk's size and
 	// extensions.
 	maxChunkLineBytes = 256
-	// maxPreallocation bounds, in bytes, the buffer allocated for a body before
-	// any of it has arrived.
-	maxPreallocation = 64 << 10
+	// bodyMemoryWait is how long a body waits for memory before the request is refused.
+	bodyMemoryWait = 200 * time.Millisecond
 )
 
 // readBody reads the complete body of a parsed request. It returns
-// *MalformedRequestError for a body that exceeds limit or has invalid chunks.
-func readBody(r *bufio.Reader, request *http.Request, limit int64) ([]byte, error) {
+// *MalformedRequestError for a body that exceeds limit or has invalid chunks, and
+// *upstream.BodyMemoryError if there is no memory for it.
+func readBody(r *bufio.Reader, request *http.Request, limit int64, memory *upstream.BodyMemory) ([]byte, error) {
 	if len(request.TransferEncoding) > 0 {
-		return readChunkedBody(r, limit)
+		return readChunkedBody(r, limit, memory.NewBuffer(0, bodyMemoryWait))
 	}
 	if request.ContentLength <= 0 {
 		return nil, nil
@@ -32,17 +34,11 @@
 	if request.ContentLength > limit {
 		return nil, bodyTooLarge(limit)
 	}
-	if request.ContentLength <= maxPreallocation {
-		body := make([]byte, request.ContentLength)
-		_, err := io.ReadFull(r, body)
-		return body, err
-	}
-	var b bytes.Buffer
-	n, err := io.CopyN(&b, r, request.ContentLength)
-	if err != nil {
+	body := memory.NewBuffer(int(request.ContentLength), bodyMemoryWait)
+	if n, err := io.CopyN(body, r, request.ContentLength); err != nil {
 		return nil, fmt.Errorf("body ended after %d of %d bytes: %w", n, request.ContentLength, err)
 	}
-	return b.Bytes(), nil
+	return body.Bytes(), nil
 }
 
 func bodyTooLarge(limit int64) *MalformedRequestError {
@@ -50,8 +46,7 @@
 }
 
 // readChunkedBody reads a chunked body and discards its trailer.
-func readChunkedBody(r *bufio.Reader, limit int64) ([]byte, error) {
-	var b bytes.Buffer
+func readChunkedBody(r *bufio.Reader, limit int64, b *upstream.BodyBuffer) ([]byte, error) {
 	for {
 		size, err := readChunkSize(r)
 		if err != nil {
@@ -63,7 +58,7 @@
 		if int64(b.Len())+size > limit {
 			return nil, bodyTooLarge(limit)
 		}
-		if _, err := io.CopyN(&b, r, size); err != nil {
+		if _, err := io.CopyN(b, r, size); err != nil {
 			return nil, err
 		}
 		end, err := readChunkLine(r)
@@ -101,7 +96,7 @@
 	if err != nil {
 		return "", err
 	}
-	if len(line) > maxChunkLineBytes || !bytes.HasSuffix(line, []byte("\r\n")) {
+	if len(line) > maxChunkLineBytes || !strings.HasSuffix(string(line), "\r\n") {
 		return "", badRequest("chunk line does not end with CR LF")
 	}
 	return string(line[:len(line)-2]), nil
--- a/lib/frontend/conn.go
+++ b/lib/frontend/conn.go
@@ -196,16 +196,17 @@
 	if request.ContentLength == 0 && len(request.TransferEncoding) == 0 {
 		return nil, nil
 	}
-	if c.frontend.bufferedBytes.Load() > c.frontend.maxBufferedBytes {
-		return nil, &MalformedRequestError{status: http.StatusServiceUnavailable, reason: "too many bodies at once"}
-	}
 	if strings.EqualFold(request.Header.Get("Expect"), "100-continue") {
 		c.responses <- pendingResponse{interim: true}
 	}
 	if err := c.raw.SetReadDeadline(time.Now().Add(bodyTimeout)); err != nil {
 		return nil, err
 	}
-	body, err := readBody(c.reader, request, limit)
+	body, err := readBody(c.reader, request, limit, c.frontend.memory)
+	var full *upstream.BodyMemoryError
+	if errors.As(err, &full) {
+		return nil, &MalformedRequestError{status: http.StatusServiceUnavailable, reason: err.Error()}
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return nil, &MalformedRequestError{status: http.StatusRequestTimeout, reason: "body took too long"}
 	}
@@ -224,10 +225,7 @@
 		request.URL.EscapedPath(), received, parseTimeout(request.Header.Get(names.Timeout())),
 	).WithNested(c.frontend.config.nested(id))
 	response := make(chan *upstream.Response, 1)
-	size := int64(len(body))
-	c.frontend.bufferedBytes.Add(size)
 	go func() {
-		defer c.frontend.bufferedBytes.Add(-size)
 		defer task.Catch(func(e *task.PanicError) {
 			response <- upstream.NewResponse(http.StatusBadGateway, http.Header{}, []byte(e.Error()+"\n"))
 			c.frontend.log.WritePanic("request", e)
@@ -278,7 +276,7 @@
 		}
 		err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
 		if err == nil {
-			_, err = c.raw.Write(text)
+			_, err = text.WriteTo(c.raw)
 		}
 		if err != nil || last {
 			c.closeWrite()
@@ -294,9 +292,9 @@
 // awaitResponse waits for a response and returns it in HTTP/1.1 wire format, and
 // whether it is the last one of the connection, which it then states. It returns
 // false if the request was cancelled and has no response.
-func (c *conn) awaitResponse(r pendingResponse) (text []byte, last, ok bool) {
+func (c *conn) awaitResponse(r pendingResponse) (text net.Buffers, last, ok bool) {
 	if r.interim {
-		return []byte("HTTP/1.1 100 Continue\r\n\r\n"), false, true
+		return net.Buffers{[]byte("HTTP/1.1 100 Continue\r\n\r\n")}, false, true
 	}
 	final := <-r.response
 	if final == nil {
--- a/lib/frontend/frontend.go
+++ b/lib/frontend/frontend.go
@@ -41,21 +41,20 @@
 
 // Frontend serves HTTP/1.1 requests from callers.
 type Frontend struct {
-	config           Config
-	serve            func(ctx context.Context, c dispatch.Call) *upstream.Response
-	clock            clockwork.Clock
-	log              *eventlog.Log
-	limits           atomic.Pointer[routeconfig.Limits]
-	draining         chan struct{}
-	openConnections  atomic.Int64
-	bufferedBytes    atomic.Int64
-	maxBufferedBytes int64
+	config          Config
+	serve           func(ctx context.Context, c dispatch.Call) *upstream.Response
+	clock           clockwork.Clock
+	log             *eventlog.Log
+	limits          atomic.Pointer[routeconfig.Limits]
+	draining        chan struct{}
+	openConnections atomic.Int64
+	memory          *upstream.BodyMemory
 }
 
-// New returns a frontend that passes requests to serve. It rejects request
-// bodies while more than maxBufferedBytes of them are buffered.
-func New(config Config, serve func(context.Context, dispatch.Call) *upstream.Response, maxBufferedBytes int64, clock clockwork.Clock, log *eventlog.Log) *Frontend {
-	f := &Frontend{config: config, serve: serve, clock: clock, log: log, draining: make(chan struct{}), maxBufferedBytes: maxBufferedBytes}
+// New returns a frontend that passes requests to serve. The bodies of requests take their
+// memory from memory; a request whose body gets none is refused.
+func New(config Config, serve func(context.Context, dispatch.Call) *upstream.Response, memory *upstream.BodyMemory, clock clockwork.Clock, log *eventlog.Log) *Frontend {
+	f := &Frontend{config: config, serve: serve, clock: clock, log: log, draining: make(chan struct{}), memory: memory}
 	limits := routeconfig.DefaultLimits()
 	f.limits.Store(&limits)
 	return f
@@ -111,9 +110,9 @@
 	return upstream.NewResponse(e.status, header, []byte(e.reason+"\n"))
 }
 
-// encodeResponse returns the response in HTTP/1.1 wire format.
-func (f *Frontend) encodeResponse(response *upstream.Response, id, method string, last bool) []byte {
-	b := make([]byte, 0, 256+len(response.Body()))
+// encodeResponse returns the response in HTTP/1.1 wire format. The body is not copied.
+func (f *Frontend) encodeResponse(response *upstream.Response, id, method string, last bool) net.Buffers {
+	b := make([]byte, 0, 256)
 	b = append(b, "HTTP/1.1 "...)
 	b = strconv.AppendInt(b, int64(response.Status()), 10)
 	b = append(b, ' ')
@@ -138,9 +137,9 @@
 	}
 	b = append(b, "\r\n"...)
 	if method == http.MethodHead {
-		return b
+		return net.Buffers{b}
 	}
-	return append(b, response.Body()...)
+	return net.Buffers{b, response.Body()}
 }
 
 func appendField(b []byte, name, value string) []byte {
--- a/lib/httpclient/conn.go
+++ b/lib/httpclient/conn.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"savorygap.example/lib/socket"
+	"savorygap.example/lib/upstream"
 )
 
 const (
@@ -30,7 +31,7 @@
 	raw         net.Conn
 	input       *limitedReader
 	reader      *bufio.Reader
-	memory      *BodyMemory
+	memory      *upstream.BodyMemory
 	exchanges   int
 	recentIDs   []string
 	lastUsed    time.Time
@@ -39,7 +40,7 @@
 
 // Dial connects to the server at address. The bodies of its responses take their
 // memory from memory.
-func Dial(ctx context.Context, address string, memory *BodyMemory) (*Conn, error) {
+func Dial(ctx context.Context, address string, memory *upstream.BodyMemory) (*Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -49,7 +50,7 @@
 }
 
 // NewConn returns a connection to a server over raw.
-func NewConn(raw net.Conn, memory *BodyMemory) *Conn {
+func NewConn(raw net.Conn, memory *upstream.BodyMemory) *Conn {
 	input := newLimitedReader(raw)
 	return &Conn{raw: raw, input: input, reader: bufio.NewReaderSize(input, bufferSize), memory: memory, idleTimeout: defaultIdleTimeout}
 }
--- a/lib/httpclient/exchange.go
+++ b/lib/httpclient/exchange.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -132,15 +133,15 @@
 func (c *Conn) Exchange(ctx context.Context, names headernames.Set, instance string, request *upstream.Request, timeout time.Duration) *Result {
 	stop := context.AfterFunc(ctx, c.Close)
 	defer stop()
-	sent := c.send(encodeRequest(names, instance, request, timeout), len(request.Body()) > asyncWriteThreshold)
-	response, err := c.readHeader(names, request)
+	sent := c.send(encodeHeader(names, instance, request, timeout), request.Body())
+	response, err := c.readHeader(ctx, names, request)
 	if err != nil {
 		c.Close()
 		return &Result{outcome: Unknown, reason: "no whole answer from the server", err: errors.Join(err, ctx.Err())}
 	}
 	result := &Result{instance: response.Header.Get(names.InstanceID())}
 	result.readServerStatus(names, response.Header)
-	body, err := c.readBody(response)
+	body, err := c.readBody(ctx, response)
 	if err != nil {
 		c.Close()
 		result.outcome, result.reason, result.err = Unknown, "the answer broke off", errors.Join(err, ctx.Err())
@@ -209,19 +210,20 @@
 	return !response.Close && response.ContentLength >= 0 && c.reader.Buffered() == 0
 }
 
-// send writes the request, on a goroutine of its own if async is set. The
-// channel receives the result of the write.
-func (c *Conn) send(text []byte, async bool) <-chan error {
+// send writes the request. A long body is not copied, and is written on a goroutine of its
+// own. The channel receives the result of the write.
+func (c *Conn) send(header, body []byte) <-chan error {
 	sent := make(chan error, 1)
-	write := func() {
-		_, err := c.raw.Write(text)
+	if len(body) <= asyncWriteThreshold {
+		_, err := c.raw.Write(append(header, body...))
 		sent <- err
+		return sent
 	}
-	if async {
-		go write()
-	} else {
-		write()
-	}
+	go func() {
+		text := net.Buffers{header, body}
+		_, err := text.WriteTo(c.raw)
+		sent <- err
+	}()
 	return sent
 }
 
@@ -230,7 +232,7 @@
 // requests on this connection. A response without an ID may belong to an earlier
 // request too, so it is accepted only on a new connection, and only if it states
 // that the request was not run.
-func (c *Conn) readHeader(names headernames.Set, request *upstream.Request) (*http.Response, error) {
+func (c *Conn) readHeader(ctx context.Context, names headernames.Set, request *upstream.Request) (*http.Response, error) {
 	method := &http.Request{Method: request.Method()}
 	stale := 0
 	for range maxInformational + maxStaleResponses {
@@ -250,7 +252,7 @@
 		if stale++; id == "" || !c.HasCarried(id) || stale > maxStaleResponses {
 			return nil, &MismatchedResponseError{id: id}
 		}
-		if _, err := c.readBody(response); err != nil {
+		if _, err := c.readBody(ctx, response); err != nil {
 			return nil, err
 		}
 	}
@@ -269,11 +271,11 @@
 	}
 }
 
-// encodeRequest returns the request in HTTP/1.1 wire format. Fields that the
-// node sets itself are not copied from the caller's header.
-func encodeRequest(names headernames.Set, instance string, request *upstream.Request, timeout time.Duration) []byte {
+// encodeHeader returns the request line and header in HTTP/1.1 wire format. Fields that
+// the node sets itself are not copied from the caller's header.
+func encodeHeader(names headernames.Set, instance string, request *upstream.Request, timeout time.Duration) []byte {
 	var b bytes.Buffer
-	b.Grow(512 + len(request.Body()))
+	b.Grow(512)
 	b.WriteString(request.Method())
 	b.WriteByte(' ')
 	b.WriteString(request.URI())
@@ -297,7 +299,6 @@
 		writeField(&b, "Content-Length", strconv.Itoa(n))
 	}
 	b.WriteString("\r\n")
-	b.Write(request.Body())
 	return b.Bytes()
 }
 
--- a/lib/link/exchange.go
+++ b/lib/link/exchange.go
@@ -22,16 +22,6 @@
 
 func (l *Link) sendCancel(number uint64) { l.inbox.Send(command{cancel: &number}) }
 
-// appendParts splits a body into parts and appends their frames.
-func appendParts(frames [][]byte, body []byte, message func([]byte) Message) [][]byte {
-	for len(body) > 0 {
-		n := min(len(body), maxPartSize)
-		frames = append(frames, Encode(message(body[:n])))
-		body = body[n:]
-	}
-	return frames
-}
-
 // tryEnqueue adds a frame to the send queue unless the queue is full.
 func (l *Link) tryEnqueue(frame []byte) bool {
 	select {
@@ -46,30 +36,43 @@
 // enqueue adds a frame to the send queue without blocking the caller.
 func (l *Link) enqueue(frame []byte) {
 	if !l.tryEnqueue(frame) {
-		go l.enqueueBlocking([][]byte{frame})
+		go l.enqueueBlocking(frame)
 	}
 }
 
-// enqueueAll adds frames to the send queue in order without blocking the caller.
-func (l *Link) enqueueAll(frames [][]byte) {
-	for i, frame := range frames {
-		if !l.tryEnqueue(frame) {
-			go l.enqueueBlocking(frames[i:])
+// enqueueWithBody adds a frame and then those of a body in parts to the send queue without
+// blocking the caller. A part is encoded when the queue has room for it, so that no second
+// copy of the whole body is held.
+func (l *Link) enqueueWithBody(head, body []byte, message func([]byte) Message) {
+	frame := head
+	for l.tryEnqueue(frame) {
+		if len(body) == 0 {
 			return
 		}
+		frame, body = encodePart(body, message)
 	}
+	go func() {
+		for l.enqueueBlocking(frame) && len(body) > 0 {
+			frame, body = encodePart(body, message)
+		}
+	}()
 }
 
-// enqueueBlocking adds frames to the send queue and waits while it is full. It
-// returns early when the link ends.
-func (l *Link) enqueueBlocking(frames [][]byte) {
-	for _, frame := range frames {
-		select {
-		case l.sendQueue <- frame:
-			l.startWriter()
-		case <-l.inbox.Done():
-			return
-		}
+// encodePart returns the frame of the first part of a body, and the rest of the body.
+func encodePart(body []byte, message func([]byte) Message) (frame, rest []byte) {
+	n := min(len(body), maxPartSize)
+	return Encode(message(body[:n])), body[n:]
+}
+
+// enqueueBlocking adds a frame to the send queue and waits while it is full. It returns
+// false when the link ends.
+func (l *Link) enqueueBlocking(frame []byte) bool {
+	select {
+	case l.sendQueue <- frame:
+		l.startWriter()
+		return true
+	case <-l.inbox.Done():
+		return false
 	}
 }
 
@@ -201,13 +204,13 @@
 
 // sendEvent sends an event to the peer. It is called from the task of the handler.
 func (l *Link) sendEvent(e upstream.Event) {
-	frames := [][]byte{Encode(Message{event: &e})}
+	var body []byte
 	if r := e.Response(); r != nil {
-		frames = appendParts(frames, r.Body(), func(b []byte) Message {
-			return Message{responsePart: &bodyPart{number: e.Number(), bytes: b}}
-		})
+		body = r.Body()
 	}
-	l.enqueueAll(frames)
+	l.enqueueWithBody(Encode(Message{event: &e}), body, func(b []byte) Message {
+		return Message{responsePart: &bodyPart{number: e.Number(), bytes: b}}
+	})
 }
 
 // handleEvent passes an event to the requester. A response with a body is held
@@ -218,9 +221,8 @@
 		return
 	}
 	if e.Kind() == upstream.Answered && bodyLength > 0 {
-		r.response = &e
-		r.bodyLength = min(bodyLength, maxBodySize)
-		r.body = make([]byte, 0, min(r.bodyLength, maxPreallocation))
+		r.response, r.bodyLength = &e, min(bodyLength, maxBodySize)
+		r.body = l.handler.responses.NewBuffer(r.bodyLength, 0)
 		return
 	}
 	if e.Kind().Final() {
@@ -234,13 +236,17 @@
 	if !ok || r.response == nil {
 		return
 	}
-	r.body = append(r.body, p.bytes...)
-	if len(r.body) < r.bodyLength {
+	if _, err := r.body.Write(p.bytes); err != nil {
+		delete(l.pending, p.number)
+		r.events <- upstream.NewEvent(upstream.Unknown, p.number).WithEndpoint(l.endpoint).WithReason(err.Error())
+		return
+	}
+	if r.body.Len() < r.bodyLength {
 		return
 	}
 	delete(l.pending, p.number)
 	response := r.response.Response()
-	r.events <- r.response.WithEndpoint(l.endpoint).WithResponse(upstream.NewResponse(response.Status(), response.Header(), r.body))
+	r.events <- r.response.WithEndpoint(l.endpoint).WithResponse(upstream.NewResponse(response.Status(), response.Header(), r.body.Bytes()))
 }
 
 func (l *Link) handleRequest(n *numberedRequest) {
@@ -257,11 +263,10 @@
 		return
 	}
 	if len(l.partialRequests) >= maxPartialRequests || n.bodyLength > maxBodySize {
-		l.handler.withdraw(l.key(n.number))
-		l.sendEvent(upstream.NewEvent(upstream.NotRun, n.number).WithReason("too many bodies at once"))
+		l.refuseBody(n.number, "too many bodies at once")
 		return
 	}
-	l.partialRequests[n.number] = &partialRequest{request: r, bodyLength: n.bodyLength, body: make([]byte, 0, min(n.bodyLength, maxPreallocation))}
+	l.partialRequests[n.number] = &partialRequest{request: r, bodyLength: n.bodyLength, body: l.handler.requests.NewBuffer(n.bodyLength, 0)}
 }
 
 func (l *Link) handleRequestPart(p *bodyPart) {
@@ -269,10 +274,20 @@
 	if !ok {
 		return
 	}
-	r.body = append(r.body, p.bytes...)
-	if len(r.body) < r.bodyLength {
+	if _, err := r.body.Write(p.bytes); err != nil {
+		delete(l.partialRequests, p.number)
+		l.refuseBody(p.number, err.Error())
+		return
+	}
+	if r.body.Len() < r.bodyLength {
 		return
 	}
 	delete(l.partialRequests, p.number)
-	l.handler.submit(l.key(p.number), r.request.WithBody(r.body))
+	l.handler.submit(l.key(p.number), r.request.WithBody(r.body.Bytes()))
+}
+
+// refuseBody tells the peer that its request was not run, because its body is not read.
+func (l *Link) refuseBody(number uint64, reason string) {
+	l.handler.withdraw(l.key(number))
+	l.sendEvent(upstream.NewEvent(upstream.NotRun, number).WithReason(reason))
 }
--- a/lib/link/link.go
+++ b/lib/link/link.go
@@ -58,8 +58,6 @@
 	tcpUserTimeoutOption = 18       // TCP_USER_TIMEOUT of Linux
 	maxBodySize          = 64 << 20 // bytes
 	maxPartialRequests   = 64       // requests whose body is being received
-	// maxPreallocation bounds the memory taken for a body before it arrives, in bytes.
-	maxPreallocation = 64 << 10
 
 	reasonLinkLost  = "link lost"
 	reasonCongested = "link congested"
@@ -74,13 +72,16 @@
 	submit      func(key limiter.Key, r *upstream.Request)
 	cancel      func(key limiter.Key)
 	releaseLink func(link uint64)
+	requests    *upstream.BodyMemory
+	responses   *upstream.BodyMemory
 }
 
 // NewHandler returns a handler made of five functions. reserve reports events of a
 // slot request through its last argument, which may be called several times.
-// releaseLink releases everything that the link with the given id holds.
-func NewHandler(reserve func(limiter.Key, upstream.SlotRequest, func(upstream.Event)), withdraw func(limiter.Key), submit func(limiter.Key, *upstream.Request), cancel func(limiter.Key), releaseLink func(uint64)) Handler {
-	return Handler{reserve: reserve, withdraw: withdraw, submit: submit, cancel: cancel, releaseLink: releaseLink}
+// releaseLink releases everything that the link with the given id holds. The bodies of
+// requests and responses that arrive over links take their memory from the last two.
+func NewHandler(reserve func(limiter.Key, upstream.SlotRequest, func(upstream.Event)), withdraw func(limiter.Key), submit func(limiter.Key, *upstream.Request), cancel func(limiter.Key), releaseLink func(uint64), requests, responses *upstream.BodyMemory) Handler {
+	return Handler{reserve: reserve, withdraw: withdraw, submit: submit, cancel: cancel, releaseLink: releaseLink, requests: requests, responses: responses}
 }
 
 // Hooks pass received messages and the end of a link to its owner. They are called
@@ -149,14 +150,14 @@
 	submitted  bool
 	silent     bool // whether its caller was told that the peer is silent
 	response   *upstream.Event
-	body       []byte
+	body       *upstream.BodyBuffer
 	bodyLength int
 }
 
 // partialRequest is a request of the peer whose body is still arriving.
 type partialRequest struct {
 	request    *upstream.Request
-	body       []byte
+	body       *upstream.BodyBuffer
 	bodyLength int
 }
 
@@ -362,9 +363,8 @@
 	}
 	r.submitted = true
 	timeLeft := c.request.Deadline().Sub(l.clock.Now())
-	frames := [][]byte{Encode(Message{request: &numberedRequest{number: c.number, request: c.request, timeLeft: timeLeft}})}
-	frames = appendParts(frames, c.request.Body(), func(b []byte) Message {
+	head := Encode(Message{request: &numberedRequest{number: c.number, request: c.request, timeLeft: timeLeft}})
+	l.enqueueWithBody(head, c.request.Body(), func(b []byte) Message {
 		return Message{requestPart: &bodyPart{number: c.number, bytes: b}}
 	})
-	l.enqueueAll(frames)
 }
--- a/lib/link/link_test.go
+++ b/lib/link/link_test.go
@@ -23,6 +23,9 @@
 	"savorygap.example/lib/upstream"
 )
 
+// testBodyMemory is the memory for bodies of requests and responses each, in bytes.
+const testBodyMemory = 64 << 20
+
 // end is one end of a link whose handler and hooks pass what they receive to
 // channels.
 type end struct {
@@ -66,6 +69,7 @@
 		func(_ limiter.Key, r *upstream.Request) { e.submitted <- r },
 		func(k limiter.Key) { e.cancelled <- k },
 		func(id uint64) { e.released <- id },
+		upstream.NewBodyMemory(testBodyMemory), upstream.NewBodyMemory(testBodyMemory),
 	)
 	hooks := link.NewHooks(func(*link.Link, link.Hello) {}, func(*link.Link, link.ServerState) {}, func(*link.Link, link.Versions) {},
 		func(_ *link.Link, s link.Signal) { e.signals <- s }, func(r []registry.Record) { e.members <- r }, func(r []registry.Record) { e.departures <- r }, func(_ *link.Link, s link.Snapshot) { e.snapshots <- s },
--- a/lib/serverproxy/proxy.go
+++ b/lib/serverproxy/proxy.go
@@ -54,7 +54,7 @@
 
 // NewConfig returns the settings of the proxy on node for the server of service
 // at address. The bodies of the server's responses take their memory from memory.
-func NewConfig(node, service, address, dataCentre string, names headernames.Set, memory *httpclient.BodyMemory) Config {
+func NewConfig(node, service, address, dataCentre string, names headernames.Set, memory *upstream.BodyMemory) Config {
 	return Config{node: node, service: service, address: address, dataCentre: dataCentre, names: names}.WithDial(
 		func(ctx context.Context, address string) (*httpclient.Conn, error) {
 			return httpclient.Dial(ctx, address, memory)
--- a/savorygap-bench/internal/cluster/host.go
+++ b/savorygap-bench/internal/cluster/host.go
@@ -7,6 +7,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -153,6 +155,21 @@
 // Signal sends a signal to the node process.
 func (h *Host) Signal(s syscall.Signal) error { return h.node.Load().command.Process.Signal(s) }
 
+// PeakMemory returns the largest resident size of the node process so far, in bytes.
+func (h *Host) PeakMemory() (int64, error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.node.Load().command.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, "VmHWM:"); ok {
+			kilobytes, err := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(strings.TrimSpace(value), "kB")), 10, 64)
+			return kilobytes << 10, err
+		}
+	}
+	return 0, fmt.Errorf("node %q states no peak of its memory", h.name)
+}
+
 // AwaitExit waits until the node process has exited.
 func (h *Host) AwaitExit(timeout time.Duration) error {
 	select {
--- a/savorygap-node/internal/callers/callers.go
+++ b/savorygap-node/internal/callers/callers.go
@@ -23,9 +23,11 @@
 	if err != nil {
 		return err
 	}
-	f := frontend.New(frontend.NewConfig(platform.HeaderNames(), t.Service(), platform.IsNestedAttempt), p.Router().Serve, t.BodyMemory(), p.Clock(), p.Log())
+	f := frontend.New(frontend.NewConfig(platform.HeaderNames(), t.Service(), platform.IsNestedAttempt), p.Router().Serve, p.RequestMemory(), p.Clock(), p.Log())
 	p.SetFrontend(f, listener)
 	go f.Run(p.Context(), listener)
+	p.Metrics().RegisterGauge("savorygap_request_memory_bytes", "Memory reserved for bodies of requests, in bytes.", func() float64 { return float64(p.RequestMemory().Used()) })
+	p.Metrics().RegisterGauge("savorygap_response_memory_bytes", "Memory reserved for bodies of responses, in bytes.", func() float64 { return float64(p.ResponseMemory().Used()) })
 	p.Metrics().RegisterGauge("savorygap_caller_connections", "Open connections of callers.", func() float64 { return float64(f.OpenConnections()) })
 	return nil
 }
--- a/savorygap-node/internal/links/links.go
+++ b/savorygap-node/internal/links/links.go
@@ -57,7 +57,7 @@
 		p.Registrar().RemoveMember,
 	)
 	self := fleet.NewMember(t.Host(), t.AdvertisedAddress(), t.DataCentre(), t.Service()).WithBandwidth(t.NetworkBandwidth())
-	handler := link.NewHandler(proxy.Reserve, proxy.Withdraw, proxy.Submit, proxy.Cancel, proxy.ReleaseLink)
+	handler := link.NewHandler(proxy.Reserve, proxy.Withdraw, proxy.Submit, proxy.Cancel, proxy.ReleaseLink, p.RequestMemory(), p.ResponseMemory())
 	f, err := fleet.New(self, p.Charts(), hooks, handler, p.Clock(), p.Log())
 	if err != nil {
 		return err
--- a/savorygap-node/internal/process/process.go
+++ b/savorygap-node/internal/process/process.go
@@ -25,6 +25,7 @@
 	"savorygap.example/lib/frontend"
 	"savorygap.example/lib/registry"
 	"savorygap.example/lib/serverproxy"
+	"savorygap.example/lib/upstream"
 	"savorygap.example/savorygap-node/internal/metrics"
 	"savorygap.example/savorygap-node/internal/settings"
 )
@@ -41,6 +42,8 @@
 	logOutput         io.Writer
 	charts            *chart.Set
 	metrics           *metrics.Metrics
+	requestMemory     *upstream.BodyMemory
+	responseMemory    *upstream.BodyMemory
 	store             *registry.Store
 	registrar         *registry.Registrar
 	watcher           *registry.Watcher
@@ -67,7 +70,7 @@
 		return nil, err
 	}
 	p := &Process{
-		settings: tree, clock: clock, logOutput: w, charts: charts, metrics: metrics.New(),
+		settings: tree, clock: clock, logOutput: w, charts: charts, metrics: metrics.New(), requestMemory: upstream.NewBodyMemory(tree.BodyMemory()), responseMemory: upstream.NewBodyMemory(tree.BodyMemory()),
 		log: eventlog.New(w, clock, tree.Host()), startedAt: clock.Now(),
 		events: make(chan chart.Event, eventBuffer), readinessRequests: make(chan chan readiness),
 	}
@@ -95,6 +98,12 @@
 // Metrics returns the metrics.
 func (p *Process) Metrics() *metrics.Metrics { return p.metrics }
 
+// RequestMemory returns the memory for the bodies of all requests.
+func (p *Process) RequestMemory() *upstream.BodyMemory { return p.requestMemory }
+
+// ResponseMemory returns the memory for the bodies of all responses.
+func (p *Process) ResponseMemory() *upstream.BodyMemory { return p.responseMemory }
+
 // Store returns the platform's store.
 func (p *Process) Store() *registry.Store { return p.store }
 
--- a/savorygap-node/internal/servers/servers.go
+++ b/savorygap-node/internal/servers/servers.go
@@ -6,7 +6,6 @@
 	"context"
 	"time"
 
-	"savorygap.example/lib/httpclient"
 	"savorygap.example/lib/link"
 	"savorygap.example/lib/registry"
 	"savorygap.example/lib/serverproxy"
@@ -34,7 +33,7 @@
 // Run creates the task, which Start starts.
 func Run(p *process.Process) error {
 	t := p.Settings()
-	config := serverproxy.NewConfig(t.Host(), t.Service(), t.Server(), t.DataCentre(), platform.HeaderNames(), httpclient.NewBodyMemory(t.BodyMemory()))
+	config := serverproxy.NewConfig(t.Host(), t.Service(), t.Server(), t.DataCentre(), platform.HeaderNames(), p.ResponseMemory())
 	observer := serverproxy.NewObserver(p.Metrics().ObserveServerRequest, p.Metrics().CountHealthCheck, p.Metrics().CountServerConnection)
 	var endpoint *upstream.Endpoint
 	onStateChange := func(s serverproxy.ServerState) {
