--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -137,6 +137,9 @@
 		p.reason = ErrStopping.Error()
 		return p.endWithoutSlot()
 	}
+	if p.isHeld() {
+		return p.endWithoutSlot()
+	}
 	ctx, cancel := context.WithDeadline(ctx, p.deadline)
 	defer cancel()
 	candidates := p.plan.candidates
@@ -145,6 +148,10 @@
 		if !ok {
 			return p.endWithoutSlot()
 		}
+		if p.isHeld() {
+			offer.event.Endpoint().Withdraw(offer.event.Number())
+			return p.endWithoutSlot()
+		}
 		p.fire(eventSend)
 		end := p.execute(ctx, offer)
 		response, again := p.handleAttemptEnd(ctx, end, reservations)
@@ -185,8 +192,11 @@
 }
 
 // spendRetry takes a retry from the budget. It reports false if the budget
-// allows none.
+// allows none, or the request is held.
 func (p *pendingCall) spendRetry(ctx context.Context) bool {
+	if p.isHeld() {
+		return false
+	}
 	m := &retryMessage{service: p.plan.service, reply: task.NewReply[bool]()}
 	if !p.router.inbox.Send(message{retry: m}) {
 		return false
@@ -228,7 +238,7 @@
 	}
 	p.tried = append(p.tried, p.node)
 	p.uncertainReason = p.reason
-	if idempotent && p.mayRetry(ctx) {
+	if idempotent && p.awaitVerdict(ctx) && p.mayRetry(ctx) {
 		p.fire(eventRetry)
 		return nil, true
 	}
--- a/lib/dispatch/dispatch_test.go
+++ b/lib/dispatch/dispatch_test.go
@@ -16,6 +16,7 @@
 	"savorygap.example/lib/eventlog"
 	"savorygap.example/lib/fleet"
 	"savorygap.example/lib/link"
+	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/routeconfig"
 	"savorygap.example/lib/upstream"
 )
@@ -96,7 +97,7 @@
 	t.Helper()
 	charts, err := chart.Embedded()
 	must.NoError(t, err)
-	observer := dispatch.NewObserver(func(string, string, time.Duration) {}, func(string) {})
+	observer := dispatch.NewObserver(func(string, string, time.Duration) {}, func(string) {}, func(quarantine.Record) {})
 	config := dispatch.NewConfig("self", "none", "north", limits)
 	r, err := dispatch.NewRouter(config, charts, clock, eventlog.New(io.Discard, clock, "self"), observer)
 	must.NoError(t, err)
@@ -290,7 +291,7 @@
 	charts, err := chart.Embedded()
 	must.NoError(t, err)
 	clock := clockwork.NewRealClock()
-	observer := dispatch.NewObserver(func(string, string, time.Duration) {}, func(string) {})
+	observer := dispatch.NewObserver(func(string, string, time.Duration) {}, func(string) {}, func(quarantine.Record) {})
 	r, err := dispatch.NewRouter(dispatch.NewConfig("self", "none", "north", dispatch.NewRetryLimits(0, 0, 0)), charts, clock, eventlog.New(io.Discard, clock, "self"), observer)
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
 )
@@ -237,6 +238,8 @@
 // reportLatency tells the router how long a successful attempt took.
 func (p *pendingCall) reportLatency(e upstream.Event, started time.Time) {
 	if succeeded(e) {
-		p.router.inbox.TrySend(message{latency: &latencyMessage{route: routeKey(p.plan.route), latency: p.router.clock.Since(started)}})
+		p.router.inbox.TrySend(message{latency: &latencyMessage{
+			route: routeKey(p.plan.route), latency: p.router.clock.Since(started), fingerprint: quarantine.FingerprintOf(p.call.request),
+		}})
 	}
 }
--- a/lib/dispatch/messages.go
+++ b/lib/dispatch/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"savorygap.example/lib/fleet"
+	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/routeconfig"
 	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
@@ -21,6 +22,7 @@
 	localServer *localServerMessage
 	nodeCount   *int
 	stop        *stopTimes
+	suspicions  []quarantine.Record
 	dump        task.Reply[Dump]
 }
 
@@ -78,10 +80,12 @@
 	unresponsive bool
 }
 
-// latencyMessage reports how long a server took for a request of a route.
+// latencyMessage reports that a server has finished a request of a route, and how long it
+// took.
 type latencyMessage struct {
-	route   string
-	latency time.Duration
+	route       string
+	latency     time.Duration
+	fingerprint quarantine.Fingerprint
 }
 
 // Dump is the state of a router for the state dump.
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -12,6 +12,7 @@
 	"savorygap.example/lib/chart"
 	"savorygap.example/lib/eventlog"
 	"savorygap.example/lib/fleet"
+	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/routeconfig"
 	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
@@ -79,12 +80,14 @@
 type Observer struct {
 	requestEnded func(route, outcome string, took time.Duration)
 	retried      func(service string)
+	cleared      func(r quarantine.Record)
 }
 
 // NewObserver returns an observer: requestEnded is called when a call ends,
-// retried for each retry and hedge.
-func NewObserver(requestEnded func(route, outcome string, took time.Duration), retried func(service string)) Observer {
-	return Observer{requestEnded: requestEnded, retried: retried}
+// retried for each retry and hedge, and cleared when a server has finished a request under
+// which others had ended. None of them may block.
+func NewObserver(requestEnded func(route, outcome string, took time.Duration), retried func(service string), cleared func(quarantine.Record)) Observer {
+	return Observer{requestEnded: requestEnded, retried: retried, cleared: cleared}
 }
 
 // Router is the task that owns the routes, the servers and the retry budgets.
@@ -103,6 +106,8 @@
 	selectors         map[string]*weightedSelector
 	budgets           map[string]*budget
 	meanLatencies     map[string]time.Duration
+	ledger            *quarantine.Ledger
+	held              atomic.Pointer[holds]
 	nodeCount         int
 	lastRequestNumber atomic.Uint64
 	active            atomic.Int64
@@ -155,10 +160,17 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Router{
+	ledger, err := quarantine.NewLedger(charts)
+	if err != nil {
+		return nil, err
+	}
+	r := &Router{
 		config: config, clock: clock, log: log, observer: observer, inbox: task.NewInbox[message](inboxSize), requestChart: requestChart, stopping: make(chan struct{}),
 		servers: map[string][]*server{}, selectors: map[string]*weightedSelector{}, budgets: map[string]*budget{}, meanLatencies: map[string]time.Duration{}, nodeCount: 1,
-	}, nil
+		ledger: ledger,
+	}
+	r.held.Store(&holds{})
+	return r, nil
 }
 
 // Run serves messages until ctx ends.
@@ -219,6 +231,7 @@
 		r.recordObservation(m.observation)
 	case m.latency != nil:
 		r.recordLatency(m.latency)
+		r.recordSuccess(m.latency.fingerprint)
 	case m.snapshot != nil:
 		r.snapshot = *m.snapshot
 		r.selectors = map[string]*weightedSelector{}
@@ -230,6 +243,8 @@
 		r.nodeCount = *m.nodeCount
 	case m.stop != nil:
 		r.setStop(m.stop)
+	case m.suspicions != nil:
+		r.applySuspicions(m.suspicions)
 	case m.dump != nil:
 		m.dump <- r.dump()
 	}
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -35,6 +35,7 @@
 	"savorygap.example/lib/chart"
 	"savorygap.example/lib/eventlog"
 	"savorygap.example/lib/link"
+	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/registry"
 	"savorygap.example/lib/routeconfig"
 	"savorygap.example/lib/task"
@@ -101,6 +102,8 @@
 	watch        func(peer string, started bool)
 	entryLost    func()
 	removeMember func(registry.Record)
+	suspicions   func([]quarantine.Record)
+	heldRequests func() []quarantine.Record
 }
 
 // NewHooks returns hooks:
@@ -118,7 +121,16 @@
 //   - removeMember receives the entry of a member that stays unreachable, to be
 //     removed from the store.
 func NewHooks(decode func([]byte) (*routeconfig.Config, error), snapshot func(Snapshot), peers func([]Peer), nodes func(int), departures func(records []registry.Record, stored bool), register func(entry registry.Record, exists bool), watch func(peer string, started bool), entryLost func(), removeMember func(registry.Record)) Hooks {
-	return Hooks{decode: decode, snapshot: snapshot, peers: peers, nodes: nodes, departures: departures, register: register, watch: watch, entryLost: entryLost, removeMember: removeMember}
+	return Hooks{decode: decode, snapshot: snapshot, peers: peers, nodes: nodes, departures: departures, register: register, watch: watch, entryLost: entryLost, removeMember: removeMember,
+		suspicions: func([]quarantine.Record) {}, heldRequests: func() []quarantine.Record { return nil }}
+}
+
+// WithQuarantine returns the hooks with a function that receives, from the task of a link,
+// what peers have seen of requests under which servers ended, and one that returns the
+// requests that are held, for a peer that has just been linked.
+func (h Hooks) WithQuarantine(suspicions func([]quarantine.Record), heldRequests func() []quarantine.Record) Hooks {
+	h.suspicions, h.heldRequests = suspicions, heldRequests
+	return h
 }
 
 // Fleet is the task that keeps the links to the other nodes and the configuration
@@ -240,6 +252,14 @@
 	return told
 }
 
+// SendSuspicions tells the peers what this node has seen of requests under which servers
+// ended. It never blocks.
+func (f *Fleet) SendSuspicions(records []quarantine.Record) {
+	if !f.inbox.TrySend(message{suspicions: records}) {
+		f.log.Write("suspicions-not-sent", "records", len(records))
+	}
+}
+
 // SetServerState sends the state of the server on this host to the peers. It never
 // blocks and must not be called concurrently.
 func (f *Fleet) SetServerState(s link.ServerState) { f.serverStates.Put(s) }
@@ -331,6 +351,10 @@
 		f.handleDepartures(m.departures)
 	case m.departure != nil:
 		m.departure.reply <- f.recordOwnDeparture(m.departure.record)
+	case m.suspicions != nil:
+		for _, p := range f.links {
+			p.link.SendSuspicions(m.suspicions)
+		}
 	case m.snapshot != nil:
 		f.handleSnapshot(m.snapshot)
 	case m.silence != nil:
--- a/lib/fleet/links.go
+++ b/lib/fleet/links.go
@@ -74,6 +74,7 @@
 		f.handleSignal,
 		func(records []registry.Record) { f.inbox.Send(message{members: records}) },
 		func(records []registry.Record) { f.inbox.Send(message{departures: records}) },
+		f.hooks.suspicions,
 		func(l *link.Link, s link.Snapshot) {
 			f.inbox.Send(message{snapshot: &snapshotMessage{link: l, snapshot: s}})
 		},
@@ -151,6 +152,9 @@
 	if d, ok := f.departures[h.Node()]; ok {
 		p.link.SendDepartures([]registry.Record{d})
 	}
+	if held := f.hooks.heldRequests(); len(held) > 0 {
+		p.link.SendSuspicions(held)
+	}
 	f.handleVersions(p.link, h.Versions())
 	f.schedulePeers()
 }
--- a/lib/fleet/messages.go
+++ b/lib/fleet/messages.go
@@ -4,6 +4,7 @@
 	"net"
 
 	"savorygap.example/lib/link"
+	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/registry"
 	"savorygap.example/lib/task"
 )
@@ -23,6 +24,7 @@
 	members      []registry.Record
 	departures   []registry.Record
 	departure    *departureMessage
+	suspicions   []quarantine.Record
 	snapshot     *snapshotMessage
 	silence      *silenceMessage
 	ended        *linkEnded
--- a/lib/link/codec.go
+++ b/lib/link/codec.go
@@ -12,6 +12,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/registry"
 	"savorygap.example/lib/upstream"
 )
@@ -44,6 +45,7 @@
 	typeSignal
 	typeMembers
 	typeDepartures
+	typeSuspicions
 )
 
 // FrameError reports a frame that cannot be decoded.
@@ -159,6 +161,8 @@
 		return encodeRecords(typeMembers, m.members)
 	case m.departures != nil:
 		return encodeRecords(typeDepartures, m.departures)
+	case m.suspicions != nil:
+		return encodeSuspicions(m.suspicions)
 	case m.snapshot != nil:
 		return encodeSnapshot(m.snapshot)
 	}
@@ -175,6 +179,16 @@
 	return e.frame()
 }
 
+// encodeSuspicions encodes each record as three consecutive fields: fingerprint, kind, and
+// the time left in milliseconds.
+func encodeSuspicions(records []quarantine.Record) []byte {
+	e := newEncoder(typeSuspicions, 40*len(records))
+	for _, r := range records {
+		e.text(3, strconv.FormatUint(uint64(r.Fingerprint()), 10)).text(3, strconv.FormatUint(uint64(r.Kind()), 10)).text(3, strconv.FormatInt(max(r.Left().Milliseconds(), 0), 10))
+	}
+	return e.frame()
+}
+
 // encodeSnapshot encodes each evacuation as three consecutive fields: data centre,
 // version and whether it is active.
 func encodeSnapshot(s *Snapshot) []byte {
--- a/lib/link/decode.go
+++ b/lib/link/decode.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"net/http"
@@ -9,6 +10,7 @@
 
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/registry"
 	"savorygap.example/lib/upstream"
 )
@@ -132,6 +134,9 @@
 	case typeDepartures:
 		records, err := decodeRecords(frameType, registry.KindDeparture, f)
 		return Message{departures: records}, err == nil, err
+	case typeSuspicions:
+		records, err := decodeSuspicions(f)
+		return Message{suspicions: records}, err == nil && len(records) > 0, err
 	case typeSnapshot:
 		return decodeSnapshot(f)
 	}
@@ -163,6 +168,23 @@
 	return records, nil
 }
 
+// decodeSuspicions skips records of a kind that this release does not know.
+func decodeSuspicions(f *fields) ([]quarantine.Record, error) {
+	records := make([]quarantine.Record, 0, len(f.repeated)/3)
+	for i := 0; i+2 < len(f.repeated); i += 3 {
+		fingerprint, err := strconv.ParseUint(f.repeated[i], 10, 64)
+		kind, kindErr := strconv.ParseUint(f.repeated[i+1], 10, 8)
+		left, leftErr := strconv.ParseUint(f.repeated[i+2], 10, 32)
+		if err := errors.Join(err, kindErr, leftErr); err != nil {
+			return nil, &FrameError{frameType: typeSuspicions, reason: err.Error()}
+		}
+		if k := quarantine.Kind(kind); k <= quarantine.Held {
+			records = append(records, quarantine.NewRecord(quarantine.Fingerprint(fingerprint), k, time.Duration(left)*time.Millisecond))
+		}
+	}
+	return records, nil
+}
+
 func decodeSnapshot(f *fields) (Message, bool, error) {
 	s := &Snapshot{version: f.numbers[1], compressed: f.bytes[2]}
 	for i := 0; i+2 < len(f.repeated); i += 3 {
@@ -181,7 +203,7 @@
 	switch frameType {
 	case typeEvent, typeRequest:
 		return 7
-	case typeSnapshot, typeMembers, typeDepartures:
+	case typeSnapshot, typeMembers, typeDepartures, typeSuspicions:
 		return 3
 	}
 	return 0
--- a/lib/link/exchange.go
+++ b/lib/link/exchange.go
@@ -195,6 +195,8 @@
 		l.hooks.members(m.members)
 	case m.departures != nil:
 		l.hooks.departures(m.departures)
+	case m.suspicions != nil:
+		l.hooks.suspicions(m.suspicions)
 	case m.snapshot != nil:
 		l.hooks.snapshot(l, *m.snapshot)
 	}
--- a/lib/link/link.go
+++ b/lib/link/link.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"savorygap.example/lib/limiter"
+	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/registry"
 	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
@@ -93,15 +94,16 @@
 	signal      func(l *Link, s Signal)
 	members     func(records []registry.Record)
 	departures  func(records []registry.Record)
+	suspicions  func(records []quarantine.Record)
 	snapshot    func(l *Link, s Snapshot)
 	silence     func(l *Link, silent bool)
 	closed      func(l *Link, err error)
 }
 
-// NewHooks returns hooks made of nine functions. silence reports that the peer has
+// NewHooks returns hooks made of ten functions. silence reports that the peer has
 // become silent, and that it is heard again.
-func NewHooks(hello func(*Link, Hello), serverState func(*Link, ServerState), versions func(*Link, Versions), signal func(*Link, Signal), members, departures func([]registry.Record), snapshot func(*Link, Snapshot), silence func(*Link, bool), closed func(*Link, error)) Hooks {
-	return Hooks{hello: hello, serverState: serverState, versions: versions, signal: signal, members: members, departures: departures, snapshot: snapshot, silence: silence, closed: closed}
+func NewHooks(hello func(*Link, Hello), serverState func(*Link, ServerState), versions func(*Link, Versions), signal func(*Link, Signal), members, departures func([]registry.Record), suspicions func([]quarantine.Record), snapshot func(*Link, Snapshot), silence func(*Link, bool), closed func(*Link, error)) Hooks {
+	return Hooks{hello: hello, serverState: serverState, versions: versions, signal: signal, members: members, departures: departures, suspicions: suspicions, snapshot: snapshot, silence: silence, closed: closed}
 }
 
 // PeerTimeoutError reports that nothing was received from a peer for too long.
@@ -248,6 +250,11 @@
 	l.enqueue(Encode(Message{departures: records}))
 }
 
+// SendSuspicions sends what this node has seen of requests under which servers ended.
+func (l *Link) SendSuspicions(records []quarantine.Record) {
+	l.enqueue(Encode(Message{suspicions: records}))
+}
+
 // SendSnapshot sends the configuration in force.
 func (l *Link) SendSnapshot(s Snapshot) { l.enqueue(Encode(Message{snapshot: &s})) }
 
--- a/lib/link/link_test.go
+++ b/lib/link/link_test.go
@@ -13,12 +13,14 @@
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
 	"github.com/jonboulle/clockwork"
 	"github.com/shoenig/test/must"
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"savorygap.example/lib/limiter"
 	"savorygap.example/lib/link"
+	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/registry"
 	"savorygap.example/lib/upstream"
 )
@@ -41,6 +43,7 @@
 	signals      chan link.Signal
 	members      chan []registry.Record
 	departures   chan []registry.Record
+	suspicions   chan []quarantine.Record
 }
 
 type slotRequest struct {
@@ -59,7 +62,7 @@
 	e := &end{
 		slotRequests: make(chan slotRequest, 8), withdrawn: make(chan limiter.Key, 8), submitted: make(chan *upstream.Request, 8),
 		cancelled: make(chan limiter.Key, 8), released: make(chan uint64, 8), silences: make(chan bool, 8), closed: make(chan error, 8), snapshots: make(chan link.Snapshot, 8),
-		signals: make(chan link.Signal, 8), members: make(chan []registry.Record, 8), departures: make(chan []registry.Record, 8),
+		signals: make(chan link.Signal, 8), members: make(chan []registry.Record, 8), departures: make(chan []registry.Record, 8), suspicions: make(chan []quarantine.Record, 8),
 	}
 	handler := link.NewHandler(
 		func(k limiter.Key, a upstream.SlotRequest, reply func(upstream.Event)) {
@@ -72,7 +75,8 @@
 		upstream.NewBodyMemory(testBodyMemory), upstream.NewBodyMemory(testBodyMemory),
 	)
 	hooks := link.NewHooks(func(*link.Link, link.Hello) {}, func(*link.Link, link.ServerState) {}, func(*link.Link, link.Versions) {},
-		func(_ *link.Link, s link.Signal) { e.signals <- s }, func(r []registry.Record) { e.members <- r }, func(r []registry.Record) { e.departures <- r }, func(_ *link.Link, s link.Snapshot) { e.snapshots <- s },
+		func(_ *link.Link, s link.Signal) { e.signals <- s }, func(r []registry.Record) { e.members <- r }, func(r []registry.Record) { e.departures <- r },
+		func(r []quarantine.Record) { e.suspicions <- r }, func(_ *link.Link, s link.Snapshot) { e.snapshots <- s },
 		func(_ *link.Link, silent bool) { e.silences <- silent }, func(_ *link.Link, err error) { e.closed <- err })
 	e.link = link.New(conn, nil, 1, peer, handler, hooks, clock)
 	go e.link.Run(ctx)
@@ -336,3 +340,10 @@
 	runtime.ReadMemStats(&after)
 	must.LessEq(t, before.TotalAlloc+maxHeap, after.TotalAlloc)
 }
+
+func TestSuspicions_ReachThePeer(t *testing.T) {
+	a, b, _ := pair(t)
+	sent := append(quarantine.Struck([]quarantine.Fingerprint{1, 1 << 63}), quarantine.NewRecord(7, quarantine.Cleared, 0), quarantine.NewRecord(8, quarantine.Held, 90*time.Second))
+	a.link.SendSuspicions(sent)
+	must.Eq(t, sent, <-b.suspicions, must.Cmp(cmp.AllowUnexported(quarantine.Record{})))
+}
--- a/lib/link/message.go
+++ b/lib/link/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/registry"
 	"savorygap.example/lib/upstream"
 )
@@ -173,6 +174,7 @@
 	signal       Signal
 	members      []registry.Record
 	departures   []registry.Record
+	suspicions   []quarantine.Record
 	snapshot     *Snapshot
 }
 
--- /dev/null
+++ b/lib/quarantine/doc.go
@@ -0,0 +1,18 @@
+// Package quarantine decides which requests are sent to no server, because servers end
+// when they work on them.
+//
+// Two attempts are the same request if method, host, path, query and body are the same;
+// callers repeat a request under a new id, and at another node. Each server that ends is
+// evidence against everything that it was at work on. A request that a server finishes is
+// cleared, so that a popular one is not held for standing beside another.
+//
+// # Usage
+//
+//	l, err := quarantine.NewLedger(charts)
+//	held := l.Apply(now, quarantine.Struck(fingerprints))
+//	cleared := l.RecordSuccess(now, fingerprint)
+//	until, isHeld := l.Held(now)[fingerprint]
+//
+// A Ledger reads no clock, opens no socket and starts no goroutine: the task that owns it
+// passes the time, and what other nodes report, to each call.
+package quarantine
--- /dev/null
+++ b/lib/quarantine/quarantine.go
@@ -0,0 +1,192 @@
+package quarantine
+
+import (
+	"time"
+
+	"savorygap.example/lib/chart"
+)
+
+const (
+	eventStruck  chart.Event = "struck"
+	eventConvict chart.Event = "convict"
+	eventLapse   chart.Event = "lapse"
+	eventClear   chart.Event = "clear"
+	tagHeld      chart.Tag   = "held"
+
+	// endsUntilHeld is the number of servers that may end under a request. Up to as many
+	// again may be at work on it by the time that all nodes know.
+	endsUntilHeld = 2
+	// suspicionTTL is how long the end of a server counts without another one.
+	suspicionTTL = time.Minute
+	// holdDuration is how long a request is held. After that, the next end holds it again.
+	holdDuration = 5 * time.Minute
+	// recentSuccess is how long after a server finished a request an end is no evidence
+	// against it.
+	recentSuccess = 2 * time.Second
+	// maxSuspects bounds the requests that are remembered. Each takes some 200 bytes.
+	maxSuspects = 1024
+	// successSlots is the size of the table of recent successes, 16 bytes each. Requests
+	// that share a slot replace each other.
+	successSlots = 1 << 10
+)
+
+// suspect is a request under which servers have ended.
+type suspect struct {
+	machine   *chart.Machine
+	ends      int
+	lastEndAt time.Time
+	heldUntil time.Time
+}
+
+// success is when a server last finished a request, in Unix nanoseconds.
+type success struct {
+	fingerprint Fingerprint
+	at          int64
+}
+
+// Ledger is what a node knows of requests under which servers have ended.
+type Ledger struct {
+	chart     *chart.Chart
+	suspects  map[Fingerprint]*suspect
+	successes [successSlots]success
+}
+
+// NewLedger returns an empty ledger that follows the chart "quarantine" of charts.
+func NewLedger(charts *chart.Set) (*Ledger, error) {
+	c, err := charts.Chart("quarantine")
+	if err != nil {
+		return nil, err
+	}
+	return &Ledger{chart: c, suspects: map[Fingerprint]*suspect{}}, nil
+}
+
+// Apply applies what this node or another one has seen. It returns the requests that are
+// held from now on.
+func (l *Ledger) Apply(now time.Time, records []Record) (held []Fingerprint) {
+	for _, r := range records {
+		switch r.kind {
+		case Ended:
+			if l.recordEnd(now, r.fingerprint) {
+				held = append(held, r.fingerprint)
+			}
+		case Held:
+			if l.hold(now, r.fingerprint, now.Add(min(r.left, holdDuration))) {
+				held = append(held, r.fingerprint)
+			}
+		case Cleared:
+			l.clear(r.fingerprint)
+		}
+	}
+	return held
+}
+
+// recordEnd counts the end of a server against a request, and reports whether it is held
+// from now on.
+func (l *Ledger) recordEnd(now time.Time, f Fingerprint) bool {
+	if s := l.successes[f%successSlots]; s.fingerprint == f && now.UnixNano()-s.at < int64(recentSuccess) {
+		return false
+	}
+	s := l.suspect(f)
+	if s == nil {
+		return false
+	}
+	if s.ends > 0 && now.Sub(s.lastEndAt) > suspicionTTL && s.heldUntil.IsZero() {
+		s.ends = 0
+	}
+	s.ends++
+	s.lastEndAt = now
+	s.fire(eventStruck)
+	if s.ends < endsUntilHeld {
+		return false
+	}
+	return l.hold(now, f, now.Add(holdDuration))
+}
+
+// hold holds a request until the given time, and reports whether it was not held before.
+func (l *Ledger) hold(now time.Time, f Fingerprint, until time.Time) bool {
+	s := l.suspect(f)
+	if s == nil || !until.After(s.heldUntil) {
+		return false
+	}
+	before := s.isHeld(now)
+	s.ends = max(s.ends, endsUntilHeld)
+	s.heldUntil = until
+	s.fire(eventConvict)
+	return !before
+}
+
+// suspect returns the entry of a request, which it adds if there is none.
+func (l *Ledger) suspect(f Fingerprint) *suspect {
+	if s, ok := l.suspects[f]; ok {
+		return s
+	}
+	machine, err := l.chart.NewMachine(chart.Actions{})
+	if err != nil {
+		return nil
+	}
+	if len(l.suspects) >= maxSuspects {
+		l.dropLeastSuspected()
+	}
+	s := &suspect{machine: machine}
+	l.suspects[f] = s
+	return s
+}
+
+// dropLeastSuspected removes the request with the fewest ends, the oldest of several.
+func (l *Ledger) dropLeastSuspected() {
+	var least Fingerprint
+	var found *suspect
+	for f, s := range l.suspects {
+		if found == nil || s.ends < found.ends || s.ends == found.ends && s.lastEndAt.Before(found.lastEndAt) {
+			least, found = f, s
+		}
+	}
+	delete(l.suspects, least)
+}
+
+// RecordSuccess records that a server has finished a request. It reports whether the
+// request was suspected until then.
+func (l *Ledger) RecordSuccess(now time.Time, f Fingerprint) bool {
+	l.successes[f%successSlots] = success{fingerprint: f, at: now.UnixNano()}
+	return l.clear(f)
+}
+
+func (l *Ledger) clear(f Fingerprint) bool {
+	s, ok := l.suspects[f]
+	if !ok {
+		return false
+	}
+	s.fire(eventClear)
+	delete(l.suspects, f)
+	return true
+}
+
+// Held returns the requests that are held, and until when.
+func (l *Ledger) Held(now time.Time) map[Fingerprint]time.Time {
+	held := map[Fingerprint]time.Time{}
+	for f, s := range l.suspects {
+		if s.isHeld(now) {
+			held[f] = s.heldUntil
+		}
+	}
+	return held
+}
+
+// Suspects returns how many requests are remembered.
+func (l *Ledger) Suspects() int { return len(l.suspects) }
+
+// isHeld reports whether the request is held, and ends a hold that is over.
+func (s *suspect) isHeld(now time.Time) bool {
+	if s.machine.HasTag(tagHeld) && !now.Before(s.heldUntil) {
+		s.fire(eventLapse)
+		s.heldUntil, s.ends, s.lastEndAt = time.Time{}, endsUntilHeld-1, now
+	}
+	return s.machine.HasTag(tagHeld)
+}
+
+// fire follows the chart. An event that a state doesn't take changes nothing.
+func (s *suspect) fire(e chart.Event) {
+	if s.machine.Accepts(e) {
+		_ = s.machine.Fire(e) // accepted
+	}
+}
--- /dev/null
+++ b/lib/quarantine/quarantine_test.go
@@ -0,0 +1,126 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"savorygap.example/lib/chart"
+	"savorygap.example/lib/quarantine"
+	"savorygap.example/lib/upstream"
+)
+
+func newLedger(t testing.TB) *quarantine.Ledger {
+	t.Helper()
+	charts, err := chart.Embedded()
+	must.NoError(t, err)
+	l, err := quarantine.NewLedger(charts)
+	must.NoError(t, err)
+	return l
+}
+
+func isHeld(l *quarantine.Ledger, now time.Time, f quarantine.Fingerprint) bool {
+	_, held := l.Held(now)[f]
+	return held
+}
+
+func request(id, method, host, uri, body string) *upstream.Request {
+	return upstream.NewRequest(id, method, uri, host, http.Header{}, []byte(body))
+}
+
+func TestFingerprint_SameForAttemptsOnly(t *testing.T) {
+	first := quarantine.FingerprintOf(request("1", "GET", "farm", "/a?b=1", ""))
+	must.Eq(t, first, quarantine.FingerprintOf(request("2", "GET", "farm", "/a?b=1", "")))
+	for _, other := range []*upstream.Request{
+		request("1", "PUT", "farm", "/a?b=1", ""), request("1", "GET", "barn", "/a?b=1", ""), request("1", "GET", "farm", "/a?b=2", ""),
+		request("1", "GET", "farm", "/a?b=1", "x"), request("1", "GET", "farm/a", "?b=1", ""),
+	} {
+		must.NotEq(t, first, quarantine.FingerprintOf(other))
+	}
+}
+
+// TestApply_TwoEndsHoldARequest guards against a request that ends one server after the
+// other: the second is the last.
+func TestApply_TwoEndsHoldARequest(t *testing.T) {
+	l, now := newLedger(t), time.Unix(1000, 0)
+	for n := range 2 {
+		must.False(t, isHeld(l, now, 7), must.Sprint(n))
+		held := l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{7, quarantine.Fingerprint(100 + n), 7}))
+		must.Eq(t, n == 1, len(held) == 1, must.Sprint(n))
+		now = now.Add(10 * time.Second)
+	}
+	must.MapLen(t, 1, l.Held(now))
+	must.True(t, isHeld(l, now, 7))
+	// The hold ends, and the next end begins another one.
+	now = now.Add(5 * time.Minute)
+	must.False(t, isHeld(l, now, 7))
+	must.Len(t, 1, l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{7})))
+}
+
+// TestApply_FinishedRequestIsNotHeld has a popular request stand beside each server's end.
+func TestApply_FinishedRequestIsNotHeld(t *testing.T) {
+	l, now := newLedger(t), time.Unix(1000, 0)
+	for range 10 {
+		must.SliceEmpty(t, l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{7})))
+		now = now.Add(time.Second)
+		must.True(t, l.RecordSuccess(now, 7))
+		now = now.Add(3 * time.Second)
+	}
+	// Many servers end in the same moment; the request has just been finished.
+	l.RecordSuccess(now, 8)
+	for range 10 {
+		must.SliceEmpty(t, l.Apply(now.Add(time.Second), quarantine.Struck([]quarantine.Fingerprint{8})))
+	}
+	// Another node has seen it finished.
+	for range 3 {
+		l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{9}))
+	}
+	must.True(t, isHeld(l, now, 9))
+	l.Apply(now, []quarantine.Record{quarantine.NewRecord(9, quarantine.Cleared, 0)})
+	must.False(t, isHeld(l, now, 9))
+}
+
+func TestApply_EndsAreForgotten(t *testing.T) {
+	l, now := newLedger(t), time.Unix(1000, 0)
+	for range 10 {
+		must.SliceEmpty(t, l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{7})))
+		now = now.Add(61 * time.Second)
+	}
+}
+
+// TestApply_HoldOfAnotherNodeCounts has a node start while a request is held.
+func TestApply_HoldOfAnotherNodeCounts(t *testing.T) {
+	l, now := newLedger(t), time.Unix(1000, 0)
+	l.Apply(now, []quarantine.Record{quarantine.NewRecord(7, quarantine.Held, 20*time.Second)})
+	must.True(t, isHeld(l, now.Add(19*time.Second), 7))
+	must.False(t, isHeld(l, now.Add(20*time.Second), 7))
+}
+
+// TestApply_ManyRequestsDropTheLeastSuspected guards against a sender of many different
+// requests: memory stays bounded, and a request that is held remains so.
+func TestApply_ManyRequestsDropTheLeastSuspected(t *testing.T) {
+	l, now := newLedger(t), time.Unix(1000, 0)
+	for range 3 {
+		l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{7}))
+	}
+	for n := range 5000 {
+		l.Apply(now.Add(time.Duration(n)*time.Millisecond), quarantine.Struck([]quarantine.Fingerprint{quarantine.Fingerprint(1000 + n)}))
+	}
+	must.LessEq(t, 1024, l.Suspects())
+	must.True(t, isHeld(l, now, 7))
+}
+
+func BenchmarkFingerprint(b *testing.B) {
+	for _, size := range []int{0, 30 << 10} {
+		r := request("1", "GET", "farm.example", "/read/12345?page=3&sort=new", string(make([]byte, size)))
+		b.Run(fmt.Sprint(size, " bytes"), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				quarantine.FingerprintOf(r)
+			}
+		})
+	}
+}
--- a/lib/serverproxy/proxy.go
+++ b/lib/serverproxy/proxy.go
@@ -13,6 +13,7 @@
 	"savorygap.example/lib/headernames"
 	"savorygap.example/lib/httpclient"
 	"savorygap.example/lib/limiter"
+	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/routeconfig"
 	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
@@ -50,12 +51,13 @@
 	dataCentre string
 	names      headernames.Set
 	dial       func(ctx context.Context, address string) (*httpclient.Conn, error)
+	heldFor    func(r *upstream.Request) time.Duration
 }
 
 // NewConfig returns the settings of the proxy on node for the server of service
 // at address. The bodies of the server's responses take their memory from memory.
 func NewConfig(node, service, address, dataCentre string, names headernames.Set, memory *upstream.BodyMemory) Config {
-	return Config{node: node, service: service, address: address, dataCentre: dataCentre, names: names}.WithDial(
+	return Config{node: node, service: service, address: address, dataCentre: dataCentre, names: names, heldFor: func(*upstream.Request) time.Duration { return 0 }}.WithDial(
 		func(ctx context.Context, address string) (*httpclient.Conn, error) {
 			return httpclient.Dial(ctx, address, memory)
 		})
@@ -67,6 +69,13 @@
 	return c
 }
 
+// WithQuarantine returns the settings with a function that tells how long a request is not
+// to be sent to any server, 0 if it may be sent.
+func (c Config) WithQuarantine(heldFor func(r *upstream.Request) time.Duration) Config {
+	c.heldFor = heldFor
+	return c
+}
+
 // Snapshot is the part of the current configuration that a proxy uses.
 type Snapshot struct {
 	config    *routeconfig.Config
@@ -123,6 +132,7 @@
 	// generation counts the instances that this node has known, so that a response is
 	// attributed to the instance that sent it.
 	generation uint64
+	losses     lossRecord
 	// leaving is whether the instance has stated in a response that it leaves.
 	leaving     bool
 	meanLatency time.Duration
@@ -152,13 +162,15 @@
 type Hooks struct {
 	stateChanged func(ServerState)
 	leaving      func(instance string, startedAt int64)
+	ended        func(instance string, requests []quarantine.Fingerprint)
 }
 
 // NewHooks returns hooks. stateChanged is called whenever the published state changes,
 // and leaving when an instance states in a response that it leaves; startedAt is its
-// start time in Unix milliseconds.
-func NewHooks(stateChanged func(ServerState), leaving func(instance string, startedAt int64)) Hooks {
-	return Hooks{stateChanged: stateChanged, leaving: leaving}
+// start time in Unix milliseconds. ended is called when an instance has ended, with the
+// requests that it was at work on.
+func NewHooks(stateChanged func(ServerState), leaving func(instance string, startedAt int64), ended func(instance string, requests []quarantine.Fingerprint)) Hooks {
+	return Hooks{stateChanged: stateChanged, leaving: leaving, ended: ended}
 }
 
 // pendingRequest is a slot request together with the function that receives its
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -125,7 +125,7 @@
 	if !ok {
 		return
 	}
-	if !p.admits() || remaining <= 0 || p.outlivesProcess(now, pending) || !p.slotLimiter.Start(now, m.key) {
+	if !p.admits() || remaining <= 0 || p.outlivesProcess(now, pending) || p.config.heldFor(m.request) > 0 || !p.slotLimiter.Start(now, m.key) {
 		delete(p.requests, m.key)
 		p.slotLimiter.Withdraw(m.key)
 		pending.reply(upstream.NewEvent(upstream.NotRun, m.key.Number()).WithReason("the place was given up").WithRetryAfter(minRetryAfter))
@@ -189,6 +189,9 @@
 		p.handleAdvisory(now, r.started, sourceRequest, r.generation, a)
 	}
 	p.recordResult(now, m.result, now.Sub(r.started), cancelled)
+	if isLost(m.result) && r.generation == p.generation {
+		p.recordLoss(now, r.request)
+	}
 	p.endFinished(m)
 	p.logRequest(now, r, m.result, cancelled)
 	p.advanceQueue(now)
@@ -224,6 +227,7 @@
 		p.fireIfAccepted(eventUnreachable)
 	case result.DialFailed():
 		p.slotLimiter.RecordResult(now, true)
+		p.recordEnd(now)
 		p.fireIfAccepted(eventUnreachable)
 	case result.Outcome() == httpclient.Answered && result.Response().Status() < http.StatusInternalServerError:
 		p.slotLimiter.RecordResult(now, false)
--- a/lib/serverproxy/serverproxy_test.go
+++ b/lib/serverproxy/serverproxy_test.go
@@ -8,6 +8,8 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +21,7 @@
 	"savorygap.example/lib/headernames"
 	"savorygap.example/lib/httpclient"
 	"savorygap.example/lib/limiter"
+	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/routeconfig"
 	"savorygap.example/lib/serverproxy"
 	"savorygap.example/lib/upstream"
@@ -35,8 +38,12 @@
 	health   chan string
 	requests chan *http.Request
 	answers  chan string
+	refuse   atomic.Bool // whether connections are closed before they are used
 }
 
+// closeConnection is an answer that closes the connection instead.
+const closeConnection = ""
+
 // rig is a proxy without sockets, on a clock that the test moves.
 type rig struct {
 	t       *testing.T
@@ -45,6 +52,7 @@
 	server  *fakeServer
 	states  chan serverproxy.ServerState
 	leaving chan string
+	ended   chan []quarantine.Fingerprint
 	log     *bytes.Buffer
 }
 
@@ -61,12 +69,15 @@
 	charts, err := chart.Embedded()
 	must.NoError(t, err)
 	r := &rig{
-		t: t, clock: clockwork.NewFakeClock(), states: make(chan serverproxy.ServerState, 256), leaving: make(chan string, 16), log: &bytes.Buffer{},
+		t: t, clock: clockwork.NewFakeClock(), states: make(chan serverproxy.ServerState, 256), leaving: make(chan string, 16), ended: make(chan []quarantine.Fingerprint, 16), log: &bytes.Buffer{},
 		server: &fakeServer{health: make(chan string, 1), requests: make(chan *http.Request, 16), answers: make(chan string, 16)},
 	}
 	r.server.health <- healthOf("i-1", http.StatusOK, "")
 	config := serverproxy.NewConfig("host-1", "shop", "server:1", "north", headernames.Default(), upstream.NewBodyMemory(1<<20)).WithDial(
 		func(context.Context, string) (*httpclient.Conn, error) {
+			if r.server.refuse.Load() {
+				return nil, syscall.ECONNREFUSED
+			}
 			near, far := net.Pipe()
 			go r.server.serve(far)
 			return httpclient.NewConn(near, upstream.NewBodyMemory(1<<20)), nil
@@ -75,7 +86,8 @@
 	log := eventlog.New(r.log, r.clock, "host-1")
 	r.proxy, err = serverproxy.New(config, charts, r.clock, log, observer, serverproxy.NewHooks(
 		func(s serverproxy.ServerState) { r.states <- s },
-		func(instance string, startedAt int64) { r.leaving <- fmt.Sprint(instance, " ", startedAt) }))
+		func(instance string, startedAt int64) { r.leaving <- fmt.Sprint(instance, " ", startedAt) },
+		func(_ string, requests []quarantine.Fingerprint) { r.ended <- requests }))
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -102,6 +114,9 @@
 			s.requests <- request
 			text = <-s.answers
 		}
+		if text == closeConnection || s.refuse.Load() {
+			return
+		}
 		if _, err := io.WriteString(conn, text); err != nil {
 			return
 		}
--- a/savorygap-node/internal/links/links.go
+++ b/savorygap-node/internal/links/links.go
@@ -55,7 +55,7 @@
 		p.Watcher().ObservePeerWatch,
 		p.Registrar().RestoreEntry,
 		p.Registrar().RemoveMember,
-	)
+	).WithQuarantine(p.Router().ApplySuspicions, p.Router().HeldRequests)
 	self := fleet.NewMember(t.Host(), t.AdvertisedAddress(), t.DataCentre(), t.Service()).WithBandwidth(t.NetworkBandwidth())
 	handler := link.NewHandler(proxy.Reserve, proxy.Withdraw, proxy.Submit, proxy.Cancel, proxy.ReleaseLink, p.RequestMemory(), p.ResponseMemory())
 	f, err := fleet.New(self, p.Charts(), hooks, handler, p.Clock(), p.Log())
--- /dev/null
+++ b/savorygap-node/internal/pipeline/deadly_test.go
@@ -0,0 +1,70 @@
+package pipeline_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// maxEnded is how many servers may end under the same request.
+const maxEnded = 3
+
+// TestDeadlyRequest_EndsFewServers guards against a request that ends one server after the
+// other. Its caller repeats it under new ids at two nodes, while other callers are served.
+func TestDeadlyRequest_EndsFewServers(t *testing.T) {
+	const servers = 6
+	cl := newCluster(t)
+	entries := []*host{cl.addHost(t, "till", 0), cl.addHost(t, "till", 0)}
+	var shops []*host
+	for range servers {
+		h := cl.addHost(t, "shop", 30*time.Millisecond)
+		h.server.SetDeadlyURI("/read/deadly")
+		shops = append(shops, h)
+	}
+	var group sync.WaitGroup
+	var served, asked atomic.Int64
+	for n, entry := range entries {
+		group.Go(func() {
+			for i := range 40 {
+				r := entry.mustSend(t, http.MethodGet, "/read/deadly", fmt.Sprint("deadly-", n, "-", i), "")
+				must.Between(t, http.StatusBadGateway, r.status, http.StatusGatewayTimeout)
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+		group.Go(func() {
+			for i := range 60 {
+				asked.Add(1)
+				r, err := entry.send(context.Background(), http.MethodGet, "/read/1", fmt.Sprint("innocent-", n, "-", i), "")
+				if err == nil && r.status == http.StatusOK {
+					served.Add(1)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+	ended := 0
+	for _, h := range shops {
+		if !acceptsConnections(h.server.Address()) {
+			ended++
+		}
+	}
+	must.LessEq(t, maxEnded, ended)
+	must.Greater(t, asked.Load()*9/10, served.Load())
+	// The caller is told when to come back, and a node that starts now knows of it.
+	for _, h := range entries {
+		h.restart(t)
+		r := h.mustSend(t, http.MethodGet, "/read/deadly", "after", "")
+		must.Eq(t, http.StatusServiceUnavailable, r.status)
+		seconds, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+		must.NoError(t, err)
+		must.Greater(t, 60, seconds)
+	}
+}
--- a/savorygap-node/internal/pipeline/node_test.go
+++ b/savorygap-node/internal/pipeline/node_test.go
@@ -54,7 +54,7 @@
 }
 
 // maxHosts is the largest number of hosts of a cluster.
-const maxHosts = 8
+const maxHosts = 9
 
 // clusters counts the clusters of this test process.
 var clusters atomic.Int64
@@ -541,3 +541,13 @@
 		must.StrContains(t, string(text), want)
 	}
 }
+
+// acceptsConnections reports whether something listens on an address.
+func acceptsConnections(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
--- a/savorygap-node/internal/routing/routing.go
+++ b/savorygap-node/internal/routing/routing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"savorygap.example/lib/dispatch"
+	"savorygap.example/lib/quarantine"
 	"savorygap.example/savorygap-node/internal/process"
 	"savorygap.example/savorygap-node/internal/settings"
 )
@@ -28,13 +29,16 @@
 func Run(p *process.Process) error {
 	t := p.Settings()
 	limits := dispatch.NewRetryLimits(t.RetryRatio(), t.MinRetries(), t.RetryWindow())
-	observer := dispatch.NewObserver(p.Metrics().ObserveRequest, p.Metrics().CountRetry)
+	observer := dispatch.NewObserver(p.Metrics().ObserveRequest, p.Metrics().CountRetry, func(r quarantine.Record) {
+		p.Fleet().SendSuspicions([]quarantine.Record{r})
+	})
 	router, err := dispatch.NewRouter(dispatch.NewConfig(t.Host(), t.Service(), t.DataCentre(), limits), p.Charts(), p.Clock(), p.Log(), observer)
 	if err != nil {
 		return err
 	}
 	p.SetRouter(router)
 	p.Go(router.Run)
+	p.Metrics().RegisterGauge("savorygap_requests_held", "Different requests that are sent to no server, since servers ended under them.", func() float64 { return float64(len(router.HeldRequests())) })
 	p.Metrics().RegisterGauge("savorygap_requests_active", "Requests of callers under way.", func() float64 { return float64(router.ActiveRequests()) })
 	return nil
 }
--- a/savorygap-node/internal/servers/servers.go
+++ b/savorygap-node/internal/servers/servers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"savorygap.example/lib/link"
+	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/registry"
 	"savorygap.example/lib/serverproxy"
 	"savorygap.example/lib/task"
@@ -33,7 +34,7 @@
 // Run creates the task, which Start starts.
 func Run(p *process.Process) error {
 	t := p.Settings()
-	config := serverproxy.NewConfig(t.Host(), t.Service(), t.Server(), t.DataCentre(), platform.HeaderNames(), p.ResponseMemory())
+	config := serverproxy.NewConfig(t.Host(), t.Service(), t.Server(), t.DataCentre(), platform.HeaderNames(), p.ResponseMemory()).WithQuarantine(p.Router().HeldFor)
 	observer := serverproxy.NewObserver(p.Metrics().ObserveServerRequest, p.Metrics().CountHealthCheck, p.Metrics().CountServerConnection)
 	var endpoint *upstream.Endpoint
 	onStateChange := func(s serverproxy.ServerState) {
@@ -44,7 +45,12 @@
 	onLeaving := func(instance string, startedAt int64) {
 		leaving.Put(departure{instance: instance, startedAt: startedAt})
 	}
-	proxy, err := serverproxy.New(config, p.Charts(), p.Clock(), p.Log(), observer, serverproxy.NewHooks(onStateChange, onLeaving))
+	onEnded := func(_ string, requests []quarantine.Fingerprint) {
+		records := quarantine.Struck(requests)
+		p.Fleet().SendSuspicions(records)
+		p.Router().ApplySuspicions(records)
+	}
+	proxy, err := serverproxy.New(config, p.Charts(), p.Clock(), p.Log(), observer, serverproxy.NewHooks(onStateChange, onLeaving, onEnded))
 	if err != nil {
 		return err
 	}
