--- a/lib/upstream/memory.go
+++ b/lib/upstream/memory.go
@@ -4,10 +4,9 @@
 	"context"
 	"fmt"
 	"runtime"
-	"sync/atomic"
+	"slices"
 	"time"
 
-	"golang.org/x/sync/semaphore"
 	"golang.org/x/time/rate"
 )
 
@@ -44,49 +43,102 @@
 // passes through several tasks, and any of them may drop it.
 type BodyMemory struct {
 	limit      int64
-	used       atomic.Int64
-	free       *semaphore.Weighted
+	account    chan memoryAccount // holds the account while nobody changes it
 	collection rate.Sometimes
 }
 
+// memoryAccount is what is reserved and who waits, the first one first.
+type memoryAccount struct {
+	used    int64
+	waiting []memoryRequest
+}
+
+// memoryRequest is a wait for size bytes. granted is closed when they are reserved.
+type memoryRequest struct {
+	size    int64
+	granted chan struct{}
+}
+
 // NewBodyMemory returns a memory of limit bytes.
 func NewBodyMemory(limit int64) *BodyMemory {
-	return &BodyMemory{limit: limit, free: semaphore.NewWeighted(limit), collection: rate.Sometimes{Interval: collectInterval}}
+	m := &BodyMemory{limit: limit, account: make(chan memoryAccount, 1), collection: rate.Sometimes{Interval: collectInterval}}
+	m.account <- memoryAccount{}
+	return m
+}
+
+// change applies a change to the account, then grants what fits to those that wait.
+func (m *BodyMemory) change(apply func(*memoryAccount)) {
+	a := <-m.account
+	apply(&a)
+	for len(a.waiting) > 0 && a.used+a.waiting[0].size <= m.limit {
+		a.used += a.waiting[0].size
+		close(a.waiting[0].granted)
+		a.waiting = a.waiting[1:]
+	}
+	m.account <- a
 }
 
 // Used returns the bytes that are reserved.
-func (m *BodyMemory) Used() int64 { return m.used.Load() }
+func (m *BodyMemory) Used() (used int64) {
+	m.change(func(a *memoryAccount) { used = a.used })
+	return used
+}
 
-// TryReserve takes n bytes. It returns *BodyMemoryError if they are not free now.
+// TryReserve takes n bytes. It returns *BodyMemoryError if they are not free now, or others
+// wait for memory.
 func (m *BodyMemory) TryReserve(n int64) error {
-	if !m.free.TryAcquire(n) {
+	reserved := false
+	m.change(func(a *memoryAccount) {
+		if reserved = len(a.waiting) == 0 && a.used+n <= m.limit; reserved {
+			a.used += n
+		}
+	})
+	if !reserved {
 		go m.collect()
 		return &BodyMemoryError{limit: m.limit}
 	}
-	m.used.Add(n)
 	return nil
 }
 
 // Reserve takes n bytes, and waits for them until ctx ends. It returns *BodyMemoryError if
 // they don't become free in time.
 func (m *BodyMemory) Reserve(ctx context.Context, n int64) error {
-	if m.TryReserve(n) == nil {
+	if n > m.limit {
+		return &BodyMemoryError{limit: m.limit}
+	}
+	r := memoryRequest{size: n, granted: make(chan struct{})}
+	m.change(func(a *memoryAccount) { a.waiting = append(a.waiting, r) })
+	select {
+	case <-r.granted:
 		return nil
+	default:
 	}
 	waiting, stop := context.WithCancel(ctx)
 	defer stop()
 	go m.collectUntil(waiting)
-	if err := m.free.Acquire(ctx, n); err != nil {
+	select {
+	case <-r.granted:
+		return nil
+	case <-ctx.Done():
+		m.withdraw(r)
 		return &BodyMemoryError{limit: m.limit}
 	}
-	m.used.Add(n)
-	return nil
+}
+
+// withdraw ends a wait, and gives back what was granted just now.
+func (m *BodyMemory) withdraw(r memoryRequest) {
+	m.change(func(a *memoryAccount) {
+		before := len(a.waiting)
+		a.waiting = slices.DeleteFunc(a.waiting, func(w memoryRequest) bool { return w.granted == r.granted })
+		if len(a.waiting) == before {
+			a.used -= r.size
+		}
+	})
 }
 
 // Release gives back n bytes.
 func (m *BodyMemory) Release(n int64) {
-	m.used.Add(-n)
-	m.free.Release(n)
+	m.change(func(a *memoryAccount) { a.used -= n })
 }
 
 // releaseAfter gives back n reserved bytes once nothing uses the array that begins with
