fix(quarantine): a node that saw a request finished tells the others

Cause: a recent success kept an end from counting at the node that had seen it, and at no other one; nodes beside servers, which refuse what is held too, held a popular request after two ends. Change: such a node answers the report of an end with a record that the request is cleared; one that is told keeps that for 2 s, since the report may arrive later. TestApply_NodeThatSawItFinishedTellsTheOthers.

--- a/lib/dispatch/quarantine.go
+++ b/lib/dispatch/quarantine.go
@@ -47,10 +47,14 @@
 // applySuspicions updates the ledger and publishes what is held.
 func (r *Router) applySuspicions(records []quarantine.Record) {
 	now := r.clock.Now()
-	for _, f := range r.ledger.Apply(now, records) {
+	held, refuted := r.ledger.Apply(now, records)
+	for _, f := range held {
 		r.log.Write("request-held", "fingerprint", uint64(f), "suspects", r.ledger.Suspects())
 	}
 	r.publishHolds(now)
+	for _, f := range refuted {
+		r.observer.cleared(quarantine.NewRecord(f, quarantine.Cleared, 0))
+	}
 }
 
 // recordSuccess records that a server has finished a request, and tells the other nodes if
--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -25,7 +25,7 @@
 	recentSuccess = 2 * time.Second
 	// maxSuspects bounds the requests that are remembered. Each takes some 200 bytes.
 	maxSuspects = 1024
-	// successSlots is the size of the table of recent successes, 16 bytes each. Requests
+	// successSlots is the size of the table of recent successes, 24 bytes each. Requests
 	// that share a slot replace each other.
 	successSlots = 1 << 10
 )
@@ -38,10 +38,12 @@
 	heldUntil time.Time
 }
 
-// success is when a server last finished a request, in Unix nanoseconds.
+// success is when a server last finished a request, in Unix nanoseconds, and whether this
+// node has seen it or was told.
 type success struct {
 	fingerprint Fingerprint
 	at          int64
+	seen        bool
 }
 
 // Ledger is what a node knows of requests under which servers have ended.
@@ -61,11 +63,18 @@
 }
 
 // Apply applies what this node or another one has seen. It returns the requests that are
-// held from now on.
-func (l *Ledger) Apply(now time.Time, records []Record) (held []Fingerprint) {
+// held from now on, and those that this node has just seen finished, so that the other
+// nodes must be told that they are cleared.
+func (l *Ledger) Apply(now time.Time, records []Record) (held, refuted []Fingerprint) {
 	for _, r := range records {
 		switch r.kind {
 		case Ended:
+			if s, recent := l.recentSuccess(now, r.fingerprint); recent {
+				if s.seen {
+					refuted = append(refuted, r.fingerprint)
+				}
+				continue
+			}
 			if l.recordEnd(now, r.fingerprint) {
 				held = append(held, r.fingerprint)
 			}
@@ -74,18 +83,22 @@
 				held = append(held, r.fingerprint)
 			}
 		case Cleared:
-			l.clear(r.fingerprint)
+			// The report that is refuted may arrive after this.
+			l.recordSuccess(now, r.fingerprint, false)
 		}
 	}
-	return held
+	return held, refuted
+}
+
+// recentSuccess returns the last time a server finished a request, if that was recently.
+func (l *Ledger) recentSuccess(now time.Time, f Fingerprint) (success, bool) {
+	s := l.successes[f%successSlots]
+	return s, s.fingerprint == f && now.UnixNano()-s.at < int64(recentSuccess)
 }
 
 // recordEnd counts the end of a server against a request, and reports whether it is held
 // from now on.
 func (l *Ledger) recordEnd(now time.Time, f Fingerprint) bool {
-	if s := l.successes[f%successSlots]; s.fingerprint == f && now.UnixNano()-s.at < int64(recentSuccess) {
-		return false
-	}
 	s := l.suspect(f)
 	if s == nil {
 		return false
@@ -147,7 +160,11 @@
 // RecordSuccess records that a server has finished a request. It reports whether the
 // request was suspected until then.
 func (l *Ledger) RecordSuccess(now time.Time, f Fingerprint) bool {
-	l.successes[f%successSlots] = success{fingerprint: f, at: now.UnixNano()}
+	return l.recordSuccess(now, f, true)
+}
+
+func (l *Ledger) recordSuccess(now time.Time, f Fingerprint, seen bool) bool {
+	l.successes[f%successSlots] = success{fingerprint: f, at: now.UnixNano(), seen: seen}
 	return l.clear(f)
 }
 
--- a/lib/quarantine/quarantine_test.go
+++ b/lib/quarantine/quarantine_test.go
@@ -48,7 +48,7 @@
 	l, now := newLedger(t), time.Unix(1000, 0)
 	for n := range 2 {
 		must.False(t, isHeld(l, now, 7), must.Sprint(n))
-		held := l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{7, quarantine.Fingerprint(100 + n), 7}))
+		held, _ := l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{7, quarantine.Fingerprint(100 + n), 7}))
 		must.Eq(t, n == 1, len(held) == 1, must.Sprint(n))
 		now = now.Add(10 * time.Second)
 	}
@@ -57,14 +57,16 @@
 	// The hold ends, and the next end begins another one.
 	now = now.Add(5 * time.Minute)
 	must.False(t, isHeld(l, now, 7))
-	must.Len(t, 1, l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{7})))
+	held, _ := l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{7}))
+	must.Len(t, 1, held)
 }
 
 // TestApply_FinishedRequestIsNotHeld has a popular request stand beside each server's end.
 func TestApply_FinishedRequestIsNotHeld(t *testing.T) {
 	l, now := newLedger(t), time.Unix(1000, 0)
 	for range 10 {
-		must.SliceEmpty(t, l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{7})))
+		l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{7}))
+		must.False(t, isHeld(l, now, 7))
 		now = now.Add(time.Second)
 		must.True(t, l.RecordSuccess(now, 7))
 		now = now.Add(3 * time.Second)
@@ -72,7 +74,9 @@
 	// Many servers end in the same moment; the request has just been finished.
 	l.RecordSuccess(now, 8)
 	for range 10 {
-		must.SliceEmpty(t, l.Apply(now.Add(time.Second), quarantine.Struck([]quarantine.Fingerprint{8})))
+		held, refuted := l.Apply(now.Add(time.Second), quarantine.Struck([]quarantine.Fingerprint{8}))
+		must.SliceEmpty(t, held)
+		must.Eq(t, []quarantine.Fingerprint{8}, refuted)
 	}
 	// Another node has seen it finished.
 	for range 3 {
@@ -81,6 +85,28 @@
 	must.True(t, isHeld(l, now, 9))
 	l.Apply(now, []quarantine.Record{quarantine.NewRecord(9, quarantine.Cleared, 0)})
 	must.False(t, isHeld(l, now, 9))
+	// Reports that arrive after that are older, and this node repeats nothing that it was told.
+	for range 3 {
+		held, refuted := l.Apply(now.Add(time.Second), quarantine.Struck([]quarantine.Fingerprint{9}))
+		must.SliceEmpty(t, held)
+		must.SliceEmpty(t, refuted)
+	}
+}
+
+// TestApply_NodeThatSawItFinishedTellsTheOthers guards against a popular request that is
+// held at nodes which have not sent it themselves, such as those beside its servers.
+func TestApply_NodeThatSawItFinishedTellsTheOthers(t *testing.T) {
+	entry, beside, now := newLedger(t), newLedger(t), time.Unix(1000, 0)
+	entry.RecordSuccess(now, 7)
+	for range 5 {
+		now = now.Add(100 * time.Millisecond)
+		ended := quarantine.Struck([]quarantine.Fingerprint{7})
+		beside.Apply(now, ended)
+		_, refuted := entry.Apply(now, ended)
+		must.Eq(t, []quarantine.Fingerprint{7}, refuted)
+		beside.Apply(now, []quarantine.Record{quarantine.NewRecord(7, quarantine.Cleared, 0)})
+		must.False(t, isHeld(beside, now, 7))
+	}
 }
 
 // TestApply_NeighbourOfTwoEndsIsNotHeld guards against a request that is held because it
@@ -99,7 +125,8 @@
 func TestApply_EndsAreForgotten(t *testing.T) {
 	l, now := newLedger(t), time.Unix(1000, 0)
 	for range 10 {
-		must.SliceEmpty(t, l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{7})))
+		l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{7}))
+		must.False(t, isHeld(l, now, 7))
 		now = now.Add(61 * time.Second)
 	}
 }
