--- a/lib/link/codec.go
+++ b/lib/link/codec.go
@@ -134,7 +134,7 @@
 		r := m.slotRequest.slotRequest
 		return newEncoder(typeSlotRequest, 96).varint(1, m.slotRequest.number).text(2, r.Service()).varint(3, uint64(max(r.Priority(), 0))).
 			flag(4, r.IsNested()).duration(5, r.MaxWait()).text(6, r.RequestID()).flag(7, r.WantsSlowdownNotice()).float(8, r.MaxSlowness()).
-			duration(9, r.TimeLeft()).duration(10, r.ExpectedLatency()).frame()
+			duration(9, r.TimeLeft()).duration(10, r.ExpectedLatency()).text(11, r.Tenant()).text(12, r.Route()).frame()
 	case m.event != nil:
 		return encodeEvent(*m.event)
 	case m.withdraw != nil:
@@ -205,7 +205,7 @@
 
 func encodeEvent(v upstream.Event) []byte {
 	e := newEncoder(typeEvent, 96).varint(1, v.Number()).varint(2, uint64(v.Kind())).float(3, v.Cost()).
-		text(4, v.Reason()).duration(5, v.RetryAfter())
+		text(4, v.Reason()).duration(5, v.RetryAfter()).float(9, v.Pressure())
 	if r := v.Response(); r != nil {
 		e.varint(6, uint64(r.Status())).header(7, r.Header()).varint(8, uint64(len(r.Body())))
 	}
--- a/lib/link/decode.go
+++ b/lib/link/decode.go
@@ -101,7 +101,7 @@
 		return Message{hello: &Hello{node: f.text(1), address: f.text(2), dataCentre: f.text(3), versions: NewVersions(f.numbers[4], f.numbers[5]), bandwidth: math.Float64frombits(f.numbers[6]), serverState: f.serverState()}}, true, nil
 	case typeSlotRequest:
 		r := upstream.NewSlotRequest(f.text(2), f.count(3)).WithNested(f.numbers[4] != 0).WithMaxWait(f.duration(5)).WithRequestID(f.text(6)).WithSlowdownNotice(f.numbers[7] != 0).
-			WithMaxSlowness(math.Float64frombits(f.numbers[8])).WithTimes(f.duration(9), f.duration(10))
+			WithMaxSlowness(math.Float64frombits(f.numbers[8])).WithTimes(f.duration(9), f.duration(10)).WithTenant(f.text(11)).WithRoute(f.text(12))
 		return Message{slotRequest: &numberedSlotRequest{number: number, slotRequest: r}}, true, nil
 	case typeEvent:
 		return decodeEvent(f)
@@ -215,7 +215,7 @@
 		return Message{}, false, &FrameError{frameType: typeEvent, reason: fmt.Sprintf("event kind %d does not exist", kind)}
 	}
 	e := upstream.NewEvent(kind, f.numbers[1]).WithCost(math.Float64frombits(f.numbers[3])).
-		WithReason(f.text(4)).WithRetryAfter(f.duration(5))
+		WithReason(f.text(4)).WithRetryAfter(f.duration(5)).WithPressure(math.Float64frombits(f.numbers[9]))
 	if status := f.count(6); status != 0 {
 		e = e.WithResponse(upstream.NewResponse(status, f.header(), nil))
 	}
--- a/lib/routeconfig/routeconfig.go
+++ b/lib/routeconfig/routeconfig.go
@@ -64,6 +64,7 @@
 	priority         int
 	maxAttempts      int
 	services         []WeightedService
+	anonymous        bool
 }
 
 // NewRoute returns a route for a host and a path prefix that begins and ends
@@ -93,6 +94,15 @@
 	return r
 }
 
+// WithAnonymous returns the route with whether its requests need no API key.
+func (r Route) WithAnonymous(anonymous bool) Route {
+	r.anonymous = anonymous
+	return r
+}
+
+// Anonymous reports whether requests need no API key.
+func (r *Route) Anonymous() bool { return r.anonymous }
+
 // Host returns the host.
 func (r *Route) Host() string { return r.host }
 
@@ -212,6 +222,8 @@
 	services   map[string]Service
 	limits     Limits
 	routeCount int
+	tenants    map[string]*Tenant // by API key
+	hasTenants bool
 }
 
 // New returns a configuration. Host names are matched without regard to case.
--- /dev/null
+++ b/lib/routeconfig/tenant_test.go
@@ -0,0 +1,34 @@
+package routeconfig_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"savorygap.example/lib/routeconfig"
+)
+
+// TestTenantByKey_KeysOfOneTenantOnly guards against a key that is accepted for another
+// tenant, or that is accepted although no tenant has it.
+func TestTenantByKey_KeysOfOneTenantOnly(t *testing.T) {
+	c := routeconfig.New(1, nil, nil, routeconfig.DefaultLimits())
+	must.False(t, c.HasTenants())
+	c = c.WithTenants([]routeconfig.Tenant{
+		routeconfig.NewTenant("choir", []string{"k1", "k2"}).WithPriority(0).WithQuota(5, 10),
+		routeconfig.NewTenant("band", []string{"k3"}),
+	})
+	must.True(t, c.HasTenants())
+	for key, want := range map[string]string{"k1": "choir", "k2": "choir", "k3": "band"} {
+		tenant, ok := c.TenantByKey(key)
+		must.True(t, ok)
+		must.Eq(t, want, tenant.Name())
+	}
+	for _, key := range []string{"", "k", "K1", "choir"} {
+		_, ok := c.TenantByKey(key)
+		must.False(t, ok, must.Sprint(key))
+	}
+	band, _ := c.TenantByKey("k3")
+	_, set := band.Priority()
+	must.False(t, set)
+	must.Eq(t, 0.0, band.Rate())
+}
--- a/lib/upstream/upstream.go
+++ b/lib/upstream/upstream.go
@@ -38,6 +38,8 @@
 	maxSlowness    float64
 	timeLeft       time.Duration
 	latency        time.Duration
+	tenant         string
+	route          string
 }
 
 // NewSlotRequest returns a request for a slot at a server of the service.
@@ -88,6 +90,26 @@
 	return r
 }
 
+// WithTenant returns the request with the tenant that the HTTP request belongs to, "" for
+// none.
+func (r SlotRequest) WithTenant(tenant string) SlotRequest {
+	r.tenant = tenant
+	return r
+}
+
+// WithRoute returns the request with a key of the route that the HTTP request matched,
+// the same on all nodes and in all versions of the configuration.
+func (r SlotRequest) WithRoute(route string) SlotRequest {
+	r.route = route
+	return r
+}
+
+// Tenant returns the tenant that the HTTP request belongs to, "" for none.
+func (r SlotRequest) Tenant() string { return r.tenant }
+
+// Route returns the key of the route that the HTTP request matched, "" if unknown.
+func (r SlotRequest) Route() string { return r.route }
+
 // TimeLeft returns the time left until the deadline of the HTTP request, 0 if unknown.
 func (r SlotRequest) TimeLeft() time.Duration { return r.timeLeft }
 
@@ -249,6 +271,7 @@
 	endpoint   *Endpoint
 	number     uint64
 	cost       float64
+	pressure   float64
 	reason     string
 	retryAfter time.Duration
 	response   *Response
@@ -264,6 +287,13 @@
 	return e
 }
 
+// WithPressure returns the event with the share of recent requests, at least as urgent as
+// this one, that found no slot at the server in time, from 0 to 1.
+func (e Event) WithPressure(pressure float64) Event {
+	e.pressure = pressure
+	return e
+}
+
 // WithReason returns the event with the reason why the slot request ended.
 func (e Event) WithReason(reason string) Event {
 	e.reason = reason
@@ -300,6 +330,10 @@
 // Cost returns the expected slowness of a request at this server.
 func (e Event) Cost() float64 { return e.cost }
 
+// Pressure returns the share of recent requests, at least as urgent as this one, that
+// found no slot at the server in time, from 0 to 1.
+func (e Event) Pressure() float64 { return e.pressure }
+
 // Reason returns the reason why the slot request ended.
 func (e Event) Reason() string { return e.reason }
 
