dispatch,frontend,serverproxy: API keys are checked and the tenant of a call is known

Cause: nothing read the API keys of callers.

Change: the plan of a call holds its tenant, found by the API key that the frontend takes from the header. Where the configuration has tenants, a call without a valid key gets 401 unless its route is anonymous or it is made by a request that the server on this host runs; the server gets the tenant's name in place of the key. Each submission compares the configuration in force with that of the plan. Errors of the header parser no longer quote the line.

--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -43,6 +43,7 @@
 	received time.Time
 	timeLeft time.Duration
 	nested   bool
+	apiKey   string
 }
 
 // NewCall returns a call received at the given time. timeLeft is how long the
@@ -63,6 +64,15 @@
 	return c
 }
 
+// WithAPIKey returns the call with the API key that it carries, "" for none.
+func (c Call) WithAPIKey(key string) Call {
+	c.apiKey = key
+	return c
+}
+
+// APIKey returns the API key that the call carries, "" for none. It must not be logged.
+func (c Call) APIKey() string { return c.apiKey }
+
 // pendingCall is the state of one call; the goroutine that serves the call
 // owns it.
 type pendingCall struct {
@@ -81,6 +91,8 @@
 	retryAfter   time.Duration
 	budgetDenied bool
 	hedgeCause   hedgeCause
+	// isUnauthorized is whether the call ends for want of a valid API key.
+	isUnauthorized bool
 	// failedResponse is the error response of an earlier attempt, and
 	// uncertainReason the reason why the outcome of an earlier attempt is
 	// unknown. The call ends with them if no further slot is found.
@@ -148,7 +160,7 @@
 		if !ok {
 			return p.endWithoutSlot()
 		}
-		if p.isHeld() {
+		if p.isHeld() || !p.mayStillBeSent() {
 			offer.event.Endpoint().Withdraw(offer.event.Number())
 			return p.endWithoutSlot()
 		}
@@ -164,7 +176,7 @@
 
 // matchRoute asks the router for the plan of the call.
 func (p *pendingCall) matchRoute(ctx context.Context) error {
-	m := &planMessage{host: p.call.request.Host(), path: p.call.path, reply: task.NewReply[planResult]()}
+	m := &planMessage{call: p.call, reply: task.NewReply[planResult]()}
 	if !p.router.inbox.Send(message{plan: m}) {
 		return ErrStopping
 	}
@@ -173,6 +185,9 @@
 		return ErrNoPlan
 	}
 	p.plan = result.plan
+	if result.err == nil {
+		p.applyTenant()
+	}
 	return result.err
 }
 
@@ -192,9 +207,9 @@
 }
 
 // spendRetry takes a retry from the budget. It reports false if the budget
-// allows none, or the request is held.
+// allows none, the request is held, or its API key is no longer valid.
 func (p *pendingCall) spendRetry(ctx context.Context) bool {
-	if p.isHeld() {
+	if p.isHeld() || !p.mayStillBeSent() {
 		return false
 	}
 	m := &retryMessage{service: p.plan.service, reply: task.NewReply[bool]()}
--- a/lib/dispatch/messages.go
+++ b/lib/dispatch/messages.go
@@ -53,6 +53,11 @@
 	version     uint64
 	meanLatency time.Duration
 	candidates  []candidate
+	// tenant is nil without tenants in the configuration, for an anonymous route and for
+	// a nested call without an API key.
+	tenant *routeconfig.Tenant
+	config *routeconfig.Config
+	nested bool
 }
 
 // candidate is a server to ask for a slot, with the cost factor of its
--- a/lib/dispatch/response.go
+++ b/lib/dispatch/response.go
@@ -25,6 +25,10 @@
 		p.reason = p.uncertainReason
 		p.fire(eventUnknown)
 		return p.errorResponse(http.StatusBadGateway, "unknown", "the outcome is not known: "+p.uncertainReason)
+	case p.keyState() == keyRemoved:
+		p.reason = (&UnauthorizedError{}).Error()
+		p.fire(eventReject)
+		return p.unauthorized()
 	}
 	p.fire(eventExhausted)
 	return p.refuse()
@@ -47,6 +51,10 @@
 	if errors.As(err, &noRoute) {
 		return p.errorResponse(http.StatusNotFound, "no-route", err.Error())
 	}
+	var unauthorized *UnauthorizedError
+	if errors.As(err, &unauthorized) {
+		return p.unauthorized()
+	}
 	p.retryAfter = notReadyRetryAfter
 	return p.unavailable()
 }
@@ -87,9 +95,12 @@
 	if p.plan.route != nil {
 		route = p.plan.route.Name()
 	}
+	if p.isUnauthorized {
+		outcome = outcomeUnauthorized
+	}
 	p.router.observer.requestEnded(route, outcome, took)
 	p.router.log.Write("request", "request", p.call.request.ID(), "outcome", outcome, "status", response.Status(), "took_ms", took.Milliseconds(),
-		"route", route, "service", p.plan.service, "version", p.plan.version, "node", p.node, "cost", p.cost, "asked", p.serversAsked,
+		"route", route, "tenant", p.tenantName(), "service", p.plan.service, "version", p.plan.version, "node", p.node, "cost", p.cost, "asked", p.serversAsked,
 		"attempts", p.attempts, "waited_ms", p.searchTime.Milliseconds(), "time_left_ms", p.call.timeLeft.Milliseconds(), "nested", p.call.nested,
 		"budget_denied", p.budgetDenied, "hedge", string(p.hedgeCause), "reason", p.reason)
 }
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -68,12 +68,13 @@
 	service     string
 	dataCentre  string
 	retryLimits RetryLimits
+	tenants     tenantSettings
 }
 
 // NewConfig returns the settings of the router on a node next to a server of
 // service.
 func NewConfig(node, service, dataCentre string, retryLimits RetryLimits) Config {
-	return Config{node: node, service: service, dataCentre: dataCentre, retryLimits: retryLimits}
+	return Config{node: node, service: service, dataCentre: dataCentre, retryLimits: retryLimits, tenants: defaultTenantSettings()}
 }
 
 // Observer receives the measurements of a router.
@@ -99,6 +100,7 @@
 	inbox             *task.Inbox[message]
 	requestChart      *chart.Chart
 	snapshot          fleet.Snapshot
+	inForce           atomic.Pointer[routeconfig.Config] // that of snapshot
 	stop              atomic.Pointer[stopTimes]
 	stopping          chan struct{} // closed once stop is set
 	local             *server
@@ -126,8 +128,7 @@
 }
 
 type planMessage struct {
-	host  string
-	path  string
+	call  Call
 	reply task.Reply[planResult]
 }
 
@@ -221,7 +222,7 @@
 func (r *Router) handle(m message) {
 	switch {
 	case m.plan != nil:
-		p, err := r.planCall(m.plan.host, m.plan.path)
+		p, err := r.planCall(m.plan.call)
 		m.plan.reply <- planResult{plan: p, err: err}
 	case m.candidates != nil:
 		m.candidates.reply <- r.candidates(m.candidates.service, m.candidates.exclude)
@@ -234,6 +235,7 @@
 		r.recordSuccess(m.latency.fingerprint)
 	case m.snapshot != nil:
 		r.snapshot = *m.snapshot
+		r.inForce.Store(r.snapshot.Config())
 		r.selectors = map[string]*weightedSelector{}
 	case m.peers != nil:
 		r.setPeers(*m.peers)
@@ -274,13 +276,18 @@
 
 // planCall matches a call to its route, chooses the service, credits the
 // service's retry budget, and selects the servers to ask for a slot.
-func (r *Router) planCall(host, path string) (plan, error) {
-	if r.snapshot.Config() == nil {
+func (r *Router) planCall(c Call) (plan, error) {
+	config := r.snapshot.Config()
+	if config == nil {
 		return plan{}, ErrNoConfiguration
 	}
-	route, ok := r.snapshot.Config().Match(host, path)
+	route, ok := config.Match(c.request.Host(), c.path)
 	if !ok {
-		return plan{}, &NoRouteError{host: host, path: path, version: r.snapshot.Version()}
+		return plan{}, &NoRouteError{host: c.request.Host(), path: c.path, version: r.snapshot.Version()}
+	}
+	tenant, nested, err := r.authenticate(config, route, c)
+	if err != nil {
+		return plan{route: route, version: r.snapshot.Version()}, err
 	}
 	key := routeKey(route)
 	if r.selectors[key] == nil {
@@ -288,7 +295,10 @@
 	}
 	service := r.selectors[key].next(route.Services())
 	r.budget(service).deposit(r.clock.Now(), r.config.retryLimits, r.nodeCount, 1)
-	return plan{route: route, service: service, version: r.snapshot.Version(), meanLatency: r.meanLatencies[key], candidates: r.candidates(service, nil)}, nil
+	return plan{
+		route: route, service: service, version: r.snapshot.Version(), meanLatency: r.meanLatencies[key], candidates: r.candidates(service, nil),
+		tenant: tenant, config: config, nested: nested,
+	}, nil
 }
 
 // routeKey identifies a route across versions of the configuration.
--- a/lib/frontend/conn.go
+++ b/lib/frontend/conn.go
@@ -220,10 +220,11 @@
 	names := c.frontend.config.names
 	id := request.Header.Get(names.AttemptID())
 	last := request.Close || c.frontend.isDraining()
+	apiKey := c.frontend.config.apiKey(request.Header)
 	call := dispatch.NewCall(
 		upstream.NewRequest(id, request.Method, request.RequestURI, request.Host, headers.RemoveHopByHop(request.Header), body).WithOriginService(c.frontend.config.originService),
 		request.URL.EscapedPath(), received, parseTimeout(request.Header.Get(names.Timeout())),
-	).WithNested(c.frontend.config.nested(id))
+	).WithNested(c.frontend.config.nested(id)).WithAPIKey(apiKey)
 	response := make(chan *upstream.Response, 1)
 	go func() {
 		defer task.Catch(func(e *task.PanicError) {
--- a/lib/frontend/frontend.go
+++ b/lib/frontend/frontend.go
@@ -30,13 +30,21 @@
 	names         headernames.Set
 	originService string
 	nested        func(id string) bool
+	apiKey        func(http.Header) string
 }
 
 // NewConfig returns the settings of a frontend. originService is the service of
 // the server on this host. nested reports, given an attempt ID, whether the
 // attempt is a nested call, that is, one that a running request waits for.
 func NewConfig(names headernames.Set, originService string, nested func(id string) bool) Config {
-	return Config{names: names, originService: originService, nested: nested}
+	return Config{names: names, originService: originService, nested: nested, apiKey: func(http.Header) string { return "" }}
+}
+
+// WithAPIKey returns the settings with a function that returns the API key in the header
+// of a request, "" if there is none.
+func (c Config) WithAPIKey(apiKey func(http.Header) string) Config {
+	c.apiKey = apiKey
+	return c
 }
 
 // Frontend serves HTTP/1.1 requests from callers.
--- a/lib/frontend/header.go
+++ b/lib/frontend/header.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"net/textproto"
 	"strings"
 )
 
@@ -114,6 +115,11 @@
 // parseHeader parses a validated request line and header.
 func parseHeader(header []byte) (*http.Request, error) {
 	request, err := http.ReadRequest(bufio.NewReaderSize(bytes.NewReader(header), min(len(header), parseBufferSize)))
+	var protocol textproto.ProtocolError
+	if errors.As(err, &protocol) {
+		// The text of the error holds the header line, which may hold an API key.
+		return nil, badRequest("malformed header line")
+	}
 	if err != nil {
 		return nil, badRequest(err.Error())
 	}
--- a/lib/headernames/headernames.go
+++ b/lib/headernames/headernames.go
@@ -25,6 +25,7 @@
 	originService    string
 	rateLimit        string
 	leaving          string
+	tenant           string
 }
 
 // Default returns the names used where the platform defines none.
@@ -32,7 +33,7 @@
 	return Set{
 		attemptID: "X-Request-Id", timeout: "X-Timeout-Ms", expectedInstance: "X-Expect-Server", notRun: "X-Not-Run",
 		signature: "X-Server-Signature", load: "X-Server-Load", instanceID: "X-Server-Id", coldRemaining: "X-Cold-Ms", originService: "X-Origin-Service",
-		rateLimit: "X-Rate-Limit", leaving: "X-Leaving",
+		rateLimit: "X-Rate-Limit", leaving: "X-Leaving", tenant: "X-Tenant",
 	}
 }
 
@@ -112,6 +113,13 @@
 	return s
 }
 
+// WithTenant returns the set with the field that tells a server the name of the tenant
+// that a request belongs to.
+func (s Set) WithTenant(name string) Set {
+	s.tenant = http.CanonicalHeaderKey(name)
+	return s
+}
+
 // AttemptID returns the field that identifies one attempt of a caller.
 func (s Set) AttemptID() string { return s.attemptID }
 
@@ -152,3 +160,6 @@
 
 // Leaving returns the field by which a server states that it is about to leave.
 func (s Set) Leaving() string { return s.leaving }
+
+// Tenant returns the field that holds the name of the tenant that a request belongs to.
+func (s Set) Tenant() string { return s.tenant }
--- a/lib/serverproxy/instance.go
+++ b/lib/serverproxy/instance.go
@@ -107,6 +107,7 @@
 // when its data centre is evacuated or restored.
 func (p *Proxy) handleSnapshot(s Snapshot) {
 	p.snapshot = s
+	p.publishRunning()
 	p.service, _ = p.lookupService(p.latest.service)
 	p.slotLimiter.SetSlots(p.maxConcurrent())
 	event := eventIn
--- a/lib/serverproxy/proxy.go
+++ b/lib/serverproxy/proxy.go
@@ -52,12 +52,13 @@
 	names      headernames.Set
 	dial       func(ctx context.Context, address string) (*httpclient.Conn, error)
 	heldFor    func(r *upstream.Request) time.Duration
+	isNestedIn func(id, parent string) bool
 }
 
 // NewConfig returns the settings of the proxy on node for the server of service
 // at address. The bodies of the server's responses take their memory from memory.
 func NewConfig(node, service, address, dataCentre string, names headernames.Set, memory *upstream.BodyMemory) Config {
-	return Config{node: node, service: service, address: address, dataCentre: dataCentre, names: names, heldFor: func(*upstream.Request) time.Duration { return 0 }}.WithDial(
+	return Config{node: node, service: service, address: address, dataCentre: dataCentre, names: names, heldFor: func(*upstream.Request) time.Duration { return 0 }, isNestedIn: func(string, string) bool { return false }}.WithDial(
 		func(ctx context.Context, address string) (*httpclient.Conn, error) {
 			return httpclient.Dial(ctx, address, memory)
 		})
@@ -124,6 +125,7 @@
 	requests  map[limiter.Key]pendingRequest
 	forwarded map[limiter.Key]*forwardedRequest
 	inFlight  atomic.Int64
+	running   atomic.Pointer[[]string] // see publishRunning
 	idleConns []*httpclient.Conn
 	// departures maps the IDs of departing instances to their start times.
 	departures map[string]int64
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -135,6 +135,7 @@
 	p.inFlight.Add(1)
 	p.forwarded[m.key] = &forwardedRequest{request: m.request, cancel: cancel, started: now, slownessAtStart: p.slotLimiter.Slowness(), generation: p.generation}
 	p.stated.requests++
+	p.publishRunning()
 	conn := p.takeIdleConn(now, m.request)
 	if conn == nil {
 		p.evictIdleConn()
@@ -179,6 +180,7 @@
 	r.cancel()
 	delete(p.forwarded, m.key)
 	p.inFlight.Add(-1)
+	p.publishRunning()
 	p.slotLimiter.Release(m.key)
 	p.keepIdle(m.conn)
 	now := p.clock.Now()
--- a/lib/upstream/upstream.go
+++ b/lib/upstream/upstream.go
@@ -171,6 +171,13 @@
 	return &copied
 }
 
+// WithHeader returns a copy of the request with the end-to-end header fields.
+func (r *Request) WithHeader(header http.Header) *Request {
+	copied := *r
+	copied.header = header
+	return &copied
+}
+
 // WithBody returns a copy of the request with the body.
 func (r *Request) WithBody(body []byte) *Request {
 	copied := *r
--- a/savorygap-node/internal/callers/callers.go
+++ b/savorygap-node/internal/callers/callers.go
@@ -23,7 +23,8 @@
 	if err != nil {
 		return err
 	}
-	f := frontend.New(frontend.NewConfig(platform.HeaderNames(), t.Service(), platform.IsNestedAttempt), p.Router().Serve, p.RequestMemory(), p.Clock(), p.Log())
+	config := frontend.NewConfig(platform.HeaderNames(), t.Service(), platform.IsNestedAttempt).WithAPIKey(platform.APIKey)
+	f := frontend.New(config, p.Router().Serve, p.RequestMemory(), p.Clock(), p.Log())
 	p.SetFrontend(f, listener)
 	go f.Run(p.Context(), listener)
 	p.Metrics().RegisterGauge("savorygap_request_memory_bytes", "Memory reserved for bodies of requests, in bytes.", func() float64 { return float64(p.RequestMemory().Used()) })
--- a/savorygap-node/internal/links/links.go
+++ b/savorygap-node/internal/links/links.go
@@ -33,8 +33,8 @@
 	hooks := fleet.NewHooks(
 		platform.DecodeConfiguration,
 		func(s fleet.Snapshot) {
-			p.Router().SetSnapshot(s)
 			proxy.SetSnapshot(serverproxy.NewSnapshot(s.Config(), s.Evacuated(t.DataCentre()), s.Version()))
+			p.Router().SetSnapshot(s)
 			p.Frontend().SetLimits(s.Config().Limits())
 			p.Configured()
 		},
--- a/savorygap-node/internal/routing/routing.go
+++ b/savorygap-node/internal/routing/routing.go
@@ -6,6 +6,7 @@
 
 	"savorygap.example/lib/dispatch"
 	"savorygap.example/lib/quarantine"
+	"savorygap.example/platform"
 	"savorygap.example/savorygap-node/internal/process"
 	"savorygap.example/savorygap-node/internal/settings"
 )
@@ -32,7 +33,9 @@
 	observer := dispatch.NewObserver(p.Metrics().ObserveRequest, p.Metrics().CountRetry, func(r quarantine.Record) {
 		p.Fleet().SendSuspicions([]quarantine.Record{r})
 	})
-	router, err := dispatch.NewRouter(dispatch.NewConfig(t.Host(), t.Service(), t.DataCentre(), limits), p.Charts(), p.Clock(), p.Log(), observer)
+	config := dispatch.NewConfig(t.Host(), t.Service(), t.DataCentre(), limits).
+		WithTenants(platform.HeaderNames().Tenant(), platform.AuthenticationScheme, func(id string) bool { return p.ServerProxy().RunsParent(id) })
+	router, err := dispatch.NewRouter(config, p.Charts(), p.Clock(), p.Log(), observer)
 	if err != nil {
 		return err
 	}
--- a/savorygap-node/internal/servers/servers.go
+++ b/savorygap-node/internal/servers/servers.go
@@ -34,7 +34,7 @@
 // Run creates the task, which Start starts.
 func Run(p *process.Process) error {
 	t := p.Settings()
-	config := serverproxy.NewConfig(t.Host(), t.Service(), t.Server(), t.DataCentre(), platform.HeaderNames(), p.ResponseMemory()).WithQuarantine(p.Router().HeldFor)
+	config := serverproxy.NewConfig(t.Host(), t.Service(), t.Server(), t.DataCentre(), platform.HeaderNames(), p.ResponseMemory()).WithQuarantine(p.Router().HeldFor).WithNesting(platform.IsNestedIn)
 	observer := serverproxy.NewObserver(p.Metrics().ObserveServerRequest, p.Metrics().CountHealthCheck, p.Metrics().CountServerConnection)
 	var endpoint *upstream.Endpoint
 	onStateChange := func(s serverproxy.ServerState) {
