--- a/lib/dispatch/dispatch_test.go
+++ b/lib/dispatch/dispatch_test.go
@@ -36,6 +36,8 @@
 	cancelled    chan uint64
 	withdrawn    chan uint64
 	pending      chan chan<- upstream.Event
+	offers       chan chan<- upstream.Event
+	queued       chan uint64 // numbers of the slot requests that were queued
 	endpoint     *upstream.Endpoint
 }
 
@@ -43,28 +45,29 @@
 	s := &fakeServer{
 		node: node, service: service, cost: cost, slotRequests: make(chan upstream.SlotRequest, 4096), submitted: make(chan *upstream.Request, 4096),
 		cancelled: make(chan uint64, 4096), withdrawn: make(chan uint64, 4096), pending: make(chan chan<- upstream.Event, 4096),
+		offers: make(chan chan<- upstream.Event, 4096), queued: make(chan uint64, 4096),
 	}
-	offers := make(chan chan<- upstream.Event, 4096)
 	s.endpoint = upstream.NewEndpoint(node, func(number uint64, r upstream.SlotRequest, events chan<- upstream.Event) {
 		s.slotRequests <- r
 		switch {
 		case s.refusal != "":
 			events <- upstream.NewEvent(upstream.Refused, number).WithEndpoint(s.endpoint).WithReason(s.refusal).WithRetryAfter(70 * time.Millisecond)
 		case s.queue:
+			s.queued <- number
 			events <- upstream.NewEvent(upstream.Queued, number).WithEndpoint(s.endpoint)
 			s.pending <- events
 		default:
-			offers <- events
+			s.offers <- events
 			events <- upstream.NewEvent(upstream.Offered, number).WithEndpoint(s.endpoint).WithCost(s.cost)
 		}
 	}, func(number uint64) {
 		select {
-		case <-offers:
+		case <-s.offers:
 		default:
 		}
 		s.withdrawn <- number
 	}, func(number uint64, r *upstream.Request) {
-		events := <-offers
+		events := <-s.offers
 		s.submitted <- r
 		if s.finalEvent != nil {
 			events <- s.finalEvent(number).WithEndpoint(s.endpoint)
--- a/lib/fleet/fetch.go
+++ b/lib/fleet/fetch.go
@@ -46,6 +46,7 @@
 // handleVersions handles the versions that a peer announces. If either is newer than
 // the one in force, the peer becomes a source and a fetch is scheduled.
 func (f *Fleet) handleVersions(l *link.Link, versions link.Versions) {
+	versions = f.withoutRefused(versions)
 	if !versions.HasNewerThan(f.snapshot.versions()) {
 		return
 	}
@@ -68,6 +69,7 @@
 func (f *Fleet) fetchSnapshot() {
 	f.fetchTimer = nil
 	have := f.snapshot.versions()
+	f.announced = f.withoutRefused(f.announced)
 	if !f.announced.HasNewerThan(have) || len(f.sources) == 0 {
 		f.announced, f.sources = link.Versions{}, nil
 		return
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -145,6 +145,7 @@
 	serverStates   *task.Latest[link.ServerState]
 	machine        *chart.Machine
 	snapshot       Snapshot
+	refused        uint64        // the store version that was refused last
 	announced      link.Versions // the newest versions that peers announced
 	sources        []*link.Link  // links to peers that announced a version newer than the one in force
 	transferBudget byteBudget
--- a/lib/fleet/update.go
+++ b/lib/fleet/update.go
@@ -254,9 +254,10 @@
 			changed = true
 		}
 	}
-	if c.hasText() && c.version > next.version {
+	if c.hasText() && c.version > next.version && c.version != f.refused {
 		if decoded, err := f.decode(c); err != nil {
-			f.log.Write("configuration-unreadable", "version", c.version, "source", c.source, "error", err.Error())
+			f.refused = c.version
+			f.log.Write("configuration-refused", "version", c.version, "source", c.source, "error", err.Error())
 		} else {
 			next.version, next.text, next.compressed, next.config = c.version, c.text, c.compressed, decoded
 			changed = true
@@ -279,7 +280,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return f.hooks.decode(text)
+	decoded, err := f.hooks.decode(text)
+	if err != nil {
+		return nil, err
+	}
+	return f.checkVersion(decoded, text)
 }
 
 // publish passes the configuration in force to the hooks and announces its versions
--- a/lib/serverproxy/serverproxy_test.go
+++ b/lib/serverproxy/serverproxy_test.go
@@ -81,7 +81,7 @@
 			near, far := net.Pipe()
 			go r.server.serve(far)
 			return httpclient.NewConn(near, upstream.NewBodyMemory(1<<20)), nil
-		})
+		}).WithNesting(isNestedIn)
 	observer := serverproxy.NewObserver(func(string, string, time.Duration) {}, func() {}, func() {})
 	log := eventlog.New(r.log, r.clock, "host-1")
 	r.proxy, err = serverproxy.New(config, charts, r.clock, log, observer, serverproxy.NewHooks(
