limiter: scarce slots are divided among tenants by what they recently had

Cause: the queue of a server served the newest first, whoever sent it, so the tenant that sent most got most of the slots.

Change: within a precedence level a free slot goes to the tenant that recently had the least of the server relative to its rate (grants counted with a half-life of 1 s), then to its newest request. Offers count until they are withdrawn. Tenants without a grant for 7 s are forgotten. The server proxy passes on tenant and rate. Without tenants the queue is served by the code as it was; a random test compares it with one tenant for all.

--- a/lib/limiter/limiter.go
+++ b/lib/limiter/limiter.go
@@ -61,6 +61,8 @@
 type reservation struct {
 	started bool
 	expires time.Time
+	tenant  string
+	nested  bool
 }
 
 // queuedRequest is a request that waits for a slot.
@@ -83,6 +85,7 @@
 	externalRequests int
 	failureRate      float64
 	failureRateAt    time.Time
+	shares           tenantShares
 }
 
 // New returns a limiter for a server with the given number of slots.
@@ -175,7 +178,7 @@
 // it.
 func (l *Limiter) Reserve(now time.Time, key Key, r Request) Decision {
 	if l.canReserve(now, r) && !l.outranked(now, r) {
-		return l.grant(now, key)
+		return l.grant(now, key, r)
 	}
 	if r.maxWait <= 0 || l.isTooLate(now, now.Add(r.maxWait)) {
 		return Decision{key: key, status: Denied}
@@ -184,9 +187,9 @@
 	return Decision{key: key, status: Queued}
 }
 
-func (l *Limiter) grant(now time.Time, key Key) Decision {
+func (l *Limiter) grant(now time.Time, key Key, r Request) Decision {
 	d := Decision{key: key, status: Granted, cost: l.Cost(now)}
-	l.reservations[key] = reservation{expires: now.Add(offerTTL)}
+	l.reservations[key] = reservation{expires: now.Add(offerTTL), tenant: r.tenant, nested: r.nested}
 	return d
 }
 
@@ -226,17 +229,6 @@
 	return n
 }
 
-// outranked reports whether a queued request that could get a slot now takes
-// precedence over r.
-func (l *Limiter) outranked(now time.Time, r Request) bool {
-	for _, q := range l.queue {
-		if precedes(q.request, r) && l.canReserve(now, q.request) {
-			return true
-		}
-	}
-	return false
-}
-
 // precedes reports whether a is served before b: nested calls go first, then
 // the higher priority.
 func precedes(a, b Request) bool {
@@ -267,6 +259,9 @@
 		return false
 	}
 	l.reservations[key] = reservation{started: true}
+	if rv.tenant != "" || !rv.nested {
+		l.shares.record(now, rv.tenant)
+	}
 	l.rate.spend(now)
 	l.RecordSent(now)
 	return true
@@ -311,13 +306,16 @@
 			decisions = append(decisions, Decision{key: key, status: Denied})
 		}
 	}
+	if l.hasQueuedTenant() {
+		return l.advanceShared(now, decisions)
+	}
 	kept := l.queue[:0]
 	for _, q := range l.queue {
 		switch {
 		case !now.Before(q.expires) || l.isTooLate(now, q.expires):
 			decisions = append(decisions, Decision{key: q.key, status: Denied})
 		case l.canReserve(now, q.request):
-			decisions = append(decisions, l.grant(now, q.key))
+			decisions = append(decisions, l.grant(now, q.key, q.request))
 		default:
 			kept = append(kept, q)
 		}
--- a/lib/limiter/request.go
+++ b/lib/limiter/request.go
@@ -26,6 +26,8 @@
 	nested      bool
 	maxWait     time.Duration
 	maxSlowness float64
+	tenant      string
+	weight      float64
 }
 
 // NewRequest returns a request. Priority 0 is the highest; a nested call is
@@ -41,6 +43,19 @@
 	return r
 }
 
+// WithTenant returns the request with the tenant that it belongs to, "" for none.
+func (r Request) WithTenant(tenant string) Request {
+	r.tenant = tenant
+	return r
+}
+
+// WithWeight returns the request with the share of the server that its tenant is due,
+// relative to those of other tenants; 0 means 1.
+func (r Request) WithWeight(weight float64) Request {
+	r.weight = weight
+	return r
+}
+
 // Status is the outcome of a request for a slot.
 type Status uint8
 
--- a/lib/routeconfig/routeconfig.go
+++ b/lib/routeconfig/routeconfig.go
@@ -224,6 +224,8 @@
 	routeCount int
 	tenants    map[string]*Tenant // by API key
 	hasTenants bool
+	rates      map[string]float64 // of the tenants that have one, by name
+	meanRate   float64
 }
 
 // New returns a configuration. Host names are matched without regard to case.
--- a/lib/routeconfig/tenant.go
+++ b/lib/routeconfig/tenant.go
@@ -46,15 +46,29 @@
 // them.
 func (c *Config) WithTenants(tenants []Tenant) *Config {
 	copied := *c
-	copied.hasTenants, copied.tenants = len(tenants) > 0, map[string]*Tenant{}
+	copied.hasTenants, copied.tenants, copied.rates, copied.meanRate = len(tenants) > 0, map[string]*Tenant{}, map[string]float64{}, 0
 	for i := range tenants {
 		for _, key := range tenants[i].keys {
 			copied.tenants[key] = &tenants[i]
 		}
+		if rate := tenants[i].rate; rate > 0 {
+			copied.meanRate += (rate - copied.meanRate) / float64(len(copied.rates)+1)
+			copied.rates[tenants[i].name] = rate
+		}
 	}
 	return &copied
 }
 
+// TenantWeight returns the share of scarce capacity that the named tenant is due, relative
+// to those of other tenants: its rate, or the mean rate for one without a rate and for
+// requests without a tenant. It is 0 if no tenant has a rate.
+func (c *Config) TenantWeight(name string) float64 {
+	if rate, ok := c.rates[name]; ok {
+		return rate
+	}
+	return c.meanRate
+}
+
 // HasTenants reports whether requests need an API key, unless their route is anonymous.
 func (c *Config) HasTenants() bool { return c.hasTenants }
 
--- a/lib/routeconfig/tenant_test.go
+++ b/lib/routeconfig/tenant_test.go
@@ -32,3 +32,17 @@
 	must.False(t, set)
 	must.Eq(t, 0.0, band.Rate())
 }
+
+// TestTenantWeight_IsItsRateOrTheMean guards against a tenant without a rate, or a request
+// without a tenant, that counts as a very small or very large one.
+func TestTenantWeight_IsItsRateOrTheMean(t *testing.T) {
+	c := routeconfig.New(1, nil, nil, routeconfig.DefaultLimits())
+	must.Eq(t, 0.0, c.TenantWeight("choir"))
+	c = c.WithTenants([]routeconfig.Tenant{
+		routeconfig.NewTenant("choir", nil).WithQuota(30, 0), routeconfig.NewTenant("band", nil).WithQuota(10, 0), routeconfig.NewTenant("free", nil),
+	})
+	for name, want := range map[string]float64{"choir": 30, "band": 10, "free": 20, "": 20, "unknown": 20} {
+		must.Eq(t, want, c.TenantWeight(name), must.Sprint(name))
+	}
+	must.Eq(t, 0.0, c.WithTenants([]routeconfig.Tenant{routeconfig.NewTenant("free", nil)}).TenantWeight("free"))
+}
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -61,7 +61,8 @@
 	}
 	p.health.recordRequest(now)
 	p.requests[m.key] = pending
-	p.reportDecision(p.slotLimiter.Reserve(now, m.key, limiter.NewRequest(m.request.Priority(), m.request.IsNested(), m.request.MaxWait()).WithMaxSlowness(m.request.MaxSlowness())))
+	p.reportDecision(p.slotLimiter.Reserve(now, m.key, limiter.NewRequest(m.request.Priority(), m.request.IsNested(), m.request.MaxWait()).
+		WithMaxSlowness(m.request.MaxSlowness()).WithTenant(m.request.Tenant()).WithWeight(p.tenantWeight(m.request.Tenant()))))
 }
 
 func (p *Proxy) refusalReason(r upstream.SlotRequest) string {
--- a/lib/serverproxy/running.go
+++ b/lib/serverproxy/running.go
@@ -40,3 +40,12 @@
 	}
 	return false
 }
+
+// tenantWeight returns the share of the server that a tenant is due, relative to those of
+// others, 0 without tenants in the configuration.
+func (p *Proxy) tenantWeight(tenant string) float64 {
+	if p.snapshot.config == nil || !p.snapshot.config.HasTenants() {
+		return 0
+	}
+	return p.snapshot.config.TenantWeight(tenant)
+}
