--- a/lib/serverproxy/messages.go
+++ b/lib/serverproxy/messages.go
@@ -72,6 +72,7 @@
 	idleConnections int
 	slowness        float64
 	rateLimit       float64
+	tenants         int
 }
 
 // State returns the state of the server's chart.
@@ -103,6 +104,9 @@
 // no limit.
 func (d Dump) RateLimit() float64 { return d.rateLimit }
 
+// Tenants returns how many tenants have their recent requests to the server counted.
+func (d Dump) Tenants() int { return d.tenants }
+
 func (p *Proxy) handle(ctx context.Context, m message) {
 	switch {
 	case m.reserve != nil:
@@ -158,7 +162,7 @@
 	return Dump{
 		state: string(p.lifecycle.State()), dataCentre: string(p.dataCentre.State()), instance: p.instance,
 		slots: p.slotLimiter.Slots(), inUse: p.slotLimiter.InUse(), queueLen: p.slotLimiter.QueueLen(), idleConnections: len(p.idleConns), slowness: p.slotLimiter.Slowness(),
-		rateLimit: p.stated.perSecond,
+		rateLimit: p.stated.perSecond, tenants: p.slotLimiter.RememberedTenants(),
 	}
 }
 
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -46,6 +46,7 @@
 	slownessAtStart float64
 	generation      uint64
 	notified        bool
+	tenant          string
 }
 
 func (p *Proxy) handleReserve(m *reserveMessage) {
@@ -134,7 +135,7 @@
 	}
 	requestCtx, cancel := context.WithDeadline(ctx, m.request.Deadline())
 	p.inFlight.Add(1)
-	p.forwarded[m.key] = &forwardedRequest{request: m.request, cancel: cancel, started: now, slownessAtStart: p.slotLimiter.Slowness(), generation: p.generation}
+	p.forwarded[m.key] = &forwardedRequest{request: m.request, cancel: cancel, started: now, slownessAtStart: p.slotLimiter.Slowness(), generation: p.generation, tenant: pending.request.Tenant()}
 	p.stated.requests++
 	p.publishRunning()
 	conn := p.takeIdleConn(now, m.request)
@@ -282,6 +283,9 @@
 		"request", r.request.ID(), "outcome", outcome, "took_ms", now.Sub(r.started).Milliseconds(),
 		"instance", p.instance, "in_use", p.slotLimiter.InUse(), "slots", p.slotLimiter.Slots(), "slowness", p.slotLimiter.Slowness(),
 	}
+	if r.tenant != "" {
+		fields = append(fields, "tenant", r.tenant)
+	}
 	if result.Response() != nil {
 		fields = append(fields, "status", result.Response().Status())
 	}
--- a/savorygap-node/internal/pipeline/tenants_test.go
+++ b/savorygap-node/internal/pipeline/tenants_test.go
@@ -98,6 +98,9 @@
 		must.NoError(t, response.Body.Close())
 		must.StrContains(t, string(text), `savorygap_requests_total{outcome="unauthorized"} 2`)
 		must.StrNotContains(t, string(text), "key-")
+		if h == b {
+			must.StrContains(t, string(text), "savorygap_server_tenants 3") // choir, band and requests without a tenant
+		}
 	}
 	for i, h := range []*host{a, b} {
 		h.kill()
--- a/savorygap-node/internal/servers/servers.go
+++ b/savorygap-node/internal/servers/servers.go
@@ -59,6 +59,7 @@
 	p.SetServerProxy(proxy)
 	p.Metrics().RegisterGauge("savorygap_server_running", "Requests at the server on this host.", func() float64 { return float64(proxy.InFlight()) })
 	p.Metrics().RegisterGauge("savorygap_server_rate_limit", "Requests per second that the server on this host takes, 0 if it states no limit.", proxy.RateLimit)
+	p.Metrics().RegisterGauge("savorygap_server_tenants", "Tenants whose recent requests to the server on this host are counted.", func() float64 { return float64(proxy.Dump(p.Context()).Tenants()) })
 	return nil
 }
 
