--- a/savorygap-node/internal/servers/servers.go
+++ b/savorygap-node/internal/servers/servers.go
@@ -34,7 +34,7 @@
 // Run creates the task, which Start starts.
 func Run(p *process.Process) error {
 	t := p.Settings()
-	config := serverproxy.NewConfig(t.Host(), t.Service(), t.Server(), t.DataCentre(), platform.HeaderNames(), p.ResponseMemory()).WithQuarantine(p.Router().HeldFor)
+	config := serverproxy.NewConfig(t.Host(), t.Service(), t.Server(), t.DataCentre(), platform.HeaderNames(), p.ResponseMemory()).WithQuarantine(p.Router().HeldFor).WithNesting(platform.IsNestedIn)
 	observer := serverproxy.NewObserver(p.Metrics().ObserveServerRequest, p.Metrics().CountHealthCheck, p.Metrics().CountServerConnection)
 	var endpoint *upstream.Endpoint
 	onStateChange := func(s serverproxy.ServerState) {
@@ -59,6 +59,7 @@
 	p.SetServerProxy(proxy)
 	p.Metrics().RegisterGauge("savorygap_server_running", "Requests at the server on this host.", func() float64 { return float64(proxy.InFlight()) })
 	p.Metrics().RegisterGauge("savorygap_server_rate_limit", "Requests per second that the server on this host takes, 0 if it states no limit.", proxy.RateLimit)
+	p.Metrics().RegisterGauge("savorygap_server_tenants", "Tenants whose recent requests to the server on this host are counted.", func() float64 { return float64(proxy.Dump(p.Context()).Tenants()) })
 	return nil
 }
 
