locality,dispatch: servers of this data centre first where others are far

Cause: with 8.8 ms between data centres a search asked 5 servers of all of them and waited 4 ms after the first offer. Replies of far data centres came too late, were withdrawn, and each had blocked a slot for some 10 ms.

Change: the router measures the round trip of each data centre from slot requests to replies. With the setting dataCentres.farRoundTrip, data centres above it are asked only in the same search when all servers here refuse or queue the request, or together with those here by a share that follows the costs here and elsewhere. Without the setting nothing is measured or sent.

Measured: go test -race lib/dispatch, lib/locality, settings: pass.

--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -183,7 +183,7 @@
 
 // candidatesExcept returns the candidates except those of the excluded nodes.
 func (p *pendingCall) candidatesExcept(ctx context.Context, exclude []string) []candidate {
-	m := &candidatesMessage{service: p.plan.service, exclude: exclude, reply: task.NewReply[[]candidate]()}
+	m := &candidatesMessage{service: p.plan.service, latency: p.plan.meanLatency, exclude: exclude, reply: task.NewReply[[]candidate]()}
 	if !p.router.inbox.Send(message{candidates: m}) {
 		return nil
 	}
--- a/lib/dispatch/candidates.go
+++ b/lib/dispatch/candidates.go
@@ -10,9 +10,10 @@
 )
 
 // candidates returns the servers to ask for a slot: all servers of a small
-// service, a sample of a large one. Suspected servers are asked only when
-// there is no other.
-func (r *Router) candidates(service string, exclude []string) []candidate {
+// service, a sample of a large one, those here first if others are far. Suspected
+// servers are asked only when there is no other. latency is the usual latency of the
+// route.
+func (r *Router) candidates(service string, latency time.Duration, exclude []string) []candidate {
 	now := r.clock.Now()
 	var usable, suspected []*server
 	for _, s := range r.servers[service] {
@@ -27,12 +28,15 @@
 	if len(usable) == 0 {
 		usable = suspected
 	}
+	if selected, ok := r.candidatesByDistance(now, service, latency, usable); ok {
+		return selected
+	}
 	if len(usable) > maxUnsampled {
 		usable = r.sampleServers(now, usable)
 	}
 	selected := make([]candidate, 0, len(usable))
 	for _, s := range usable {
-		selected = append(selected, candidate{endpoint: s.endpoint, distanceFactor: r.distanceFactor(s)})
+		selected = append(selected, r.newCandidate(now, s))
 	}
 	return selected
 }
--- a/lib/dispatch/dispatch_test.go
+++ b/lib/dispatch/dispatch_test.go
@@ -27,6 +27,7 @@
 type fakeServer struct {
 	node         string
 	service      string
+	dataCentre   string
 	cost         float64
 	refusal      string
 	queue        bool
@@ -41,7 +42,7 @@
 
 func newFakeServer(node, service string, cost float64) *fakeServer {
 	s := &fakeServer{
-		node: node, service: service, cost: cost, slotRequests: make(chan upstream.SlotRequest, 4096), submitted: make(chan *upstream.Request, 4096),
+		node: node, service: service, dataCentre: "north", cost: cost, slotRequests: make(chan upstream.SlotRequest, 4096), submitted: make(chan *upstream.Request, 4096),
 		cancelled: make(chan uint64, 4096), withdrawn: make(chan uint64, 4096), pending: make(chan chan<- upstream.Event, 4096),
 	}
 	offers := make(chan chan<- upstream.Event, 4096)
@@ -94,11 +95,15 @@
 }
 
 func newRouterWith(t *testing.T, clock clockwork.Clock, limits dispatch.RetryLimits, servers ...*fakeServer) *dispatch.Router {
+	t.Helper()
+	return newRouterOf(t, clock, dispatch.NewConfig("self", "none", "north", limits), servers...)
+}
+
+func newRouterOf(t *testing.T, clock clockwork.Clock, config dispatch.Config, servers ...*fakeServer) *dispatch.Router {
 	t.Helper()
 	charts, err := chart.Embedded()
 	must.NoError(t, err)
 	observer := dispatch.NewObserver(func(string, string, time.Duration) {}, func(string) {}, func(quarantine.Record) {})
-	config := dispatch.NewConfig("self", "none", "north", limits)
 	r, err := dispatch.NewRouter(config, charts, clock, eventlog.New(io.Discard, clock, "self"), observer)
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -115,7 +120,7 @@
 	r.SetSnapshot(fleet.NewSnapshot(5, c))
 	var peers []fleet.Peer
 	for _, s := range servers {
-		peers = append(peers, fleet.NewPeer(s.node, "north", link.NewServerState(s.service, "i-"+s.node, true), s.endpoint))
+		peers = append(peers, fleet.NewPeer(s.node, s.dataCentre, link.NewServerState(s.service, "i-"+s.node, true), s.endpoint))
 	}
 	r.SetPeers(peers)
 	return r
--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -220,7 +220,7 @@
 func (p *pendingCall) reserveHedge(ctx context.Context, exclude []string, request upstream.SlotRequest, maxCost float64, found chan<- offer) {
 	defer close(found)
 	defer task.Catch(func(e *task.PanicError) { p.router.log.WritePanic("hedge", e) })
-	candidates := p.candidatesExcept(ctx, exclude)
+	candidates := withoutOverflow(p.candidatesExcept(ctx, exclude))
 	if len(candidates) == 0 {
 		return
 	}
--- a/lib/dispatch/messages.go
+++ b/lib/dispatch/messages.go
@@ -16,6 +16,7 @@
 	candidates  *candidatesMessage
 	retry       *retryMessage
 	observation *observation
+	searched    *searchReport
 	latency     *latencyMessage
 	snapshot    *fleet.Snapshot
 	peers       *[]fleet.Peer
@@ -56,10 +57,17 @@
 }
 
 // candidate is a server to ask for a slot, with the cost factor of its
-// distance.
+// distance. With far data centres, it also holds what distance.go decided.
 type candidate struct {
 	endpoint       *upstream.Endpoint
 	distanceFactor float64
+	dataCentre     string        // "" for this node's own, or if distances do not matter
+	far            bool          // in a far data centre, while there are servers here
+	overflow       bool          // asked only if nothing here is free
+	roundTrip      time.Duration // of a far server
+	replyWithin    time.Duration // how long its reply is waited for after an offer, 0 for offerWindow
+	extraCost      float64       // added to what it offers
+	askedAt        time.Time
 }
 
 // costFactor returns the cost factor of the distance for a request with a body
--- a/lib/dispatch/reserve.go
+++ b/lib/dispatch/reserve.go
@@ -54,6 +54,12 @@
 	reason       string
 	retryAfter   time.Duration
 	latestStart  func() (time.Time, bool) // see pendingCall.latestStart
+	overflow     []candidate              // far servers that were not asked yet
+	askedFar     bool
+	overflowed   bool
+	final        bool // a server has said that no other is worth asking
+	startedAt    time.Time
+	report       searchReport
 }
 
 // findSlot reserves a slot at the cheapest candidate, and queues if none is
@@ -110,7 +116,7 @@
 		router: p.router, service: p.plan.service, bodySize: len(p.call.request.Body()),
 		events:  make(chan upstream.Event, upstream.MaxEvents*len(candidates)),
 		pending: make(map[uint64]candidate, len(candidates)), replied: make(map[uint64]bool, len(candidates)),
-		latestStart: p.latestStart,
+		latestStart: p.latestStart, startedAt: p.router.clock.Now(),
 	}
 }
 
@@ -138,13 +144,9 @@
 // run asks the candidates for a slot, returns the cheapest offer and withdraws
 // from all others.
 func (s *slotSearch) run(ctx context.Context, candidates []candidate, request upstream.SlotRequest) (offer, bool) {
-	for _, c := range candidates {
-		number := s.router.lastRequestNumber.Add(1)
-		s.pending[number] = c
-		c.endpoint.Reserve(number, request, s.events)
-	}
-	s.serversAsked = len(candidates)
-	best, ok := s.collect(ctx, request.MaxWait())
+	s.askAll(candidates, request)
+	best, ok := s.collect(ctx, request)
+	s.reportSearch()
 	for number, c := range s.pending {
 		if !ok || number != best.event.Number() {
 			c.endpoint.Withdraw(number)
@@ -155,15 +157,22 @@
 
 // collect handles replies and returns the cheapest offer, once all servers
 // have replied or the wait for the rest is over.
-func (s *slotSearch) collect(ctx context.Context, maxWait time.Duration) (offer, bool) {
+func (s *slotSearch) collect(ctx context.Context, request upstream.SlotRequest) (offer, bool) {
+	maxWait := request.MaxWait()
 	until := s.router.clock.Now().Add(maxWait + replyTimeout)
 	waitTimer := s.router.clock.NewTimer(maxWait + replyTimeout)
 	defer waitTimer.Stop()
 	stopping, timeoutReason := s.router.stopping, "no place in time"
 	replyTimer := s.router.clock.NewTimer(replyTimeout)
 	defer replyTimer.Stop()
-	for len(s.pending) > 0 {
-		if len(s.offers) > 0 && len(s.replied) >= len(s.pending) {
+	for {
+		if len(s.replied) >= len(s.pending) && s.askOverflow(request) {
+			replyTimer.Reset(replyTimeout)
+		}
+		switch {
+		case len(s.pending) == 0:
+			return offer{}, false
+		case len(s.offers) > 0 && len(s.replied) >= len(s.pending):
 			return s.cheapest(), true
 		}
 		select {
@@ -171,13 +180,16 @@
 			first := len(s.offers) == 0
 			s.handleEvent(e)
 			if first && len(s.offers) > 0 {
-				replyTimer.Reset(offerWindow)
+				replyTimer.Reset(s.offerWait())
 			}
 		case <-replyTimer.Chan():
 			s.reportUnresponsive()
 			if len(s.offers) > 0 {
 				return s.cheapest(), true
 			}
+			if s.askOverflow(request) {
+				replyTimer.Reset(replyTimeout)
+			}
 		case <-stopping:
 			stopping = nil
 			if latest, limited := s.latestStart(); limited && latest.Before(until) {
@@ -192,7 +204,6 @@
 			return offer{}, false
 		}
 	}
-	return offer{}, false
 }
 
 // handleEvent records a reply.
@@ -201,10 +212,13 @@
 	if !ok {
 		return
 	}
+	if !s.replied[e.Number()] {
+		s.observeReply(c, e)
+	}
 	s.replied[e.Number()] = true
 	switch e.Kind() {
 	case upstream.Offered:
-		s.offers = append(s.offers, offer{event: e, events: s.events, cost: e.Cost() * c.costFactor(s.bodySize)})
+		s.offers = append(s.offers, offer{event: e, events: s.events, cost: e.Cost()*c.costFactor(s.bodySize) + c.extraCost})
 		s.reportCost(c, e.Cost())
 	case upstream.Queued:
 		s.reportCost(c, e.Cost())
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -68,6 +68,8 @@
 	service     string
 	dataCentre  string
 	retryLimits RetryLimits
+	// farRoundTrip is the round-trip time above which a data centre is far, 0 for none.
+	farRoundTrip time.Duration
 }
 
 // NewConfig returns the settings of the router on a node next to a server of
@@ -81,6 +83,7 @@
 	requestEnded func(route, outcome string, took time.Duration)
 	retried      func(service string)
 	cleared      func(r quarantine.Record)
+	searched     func(service, scope string)
 }
 
 // NewObserver returns an observer: requestEnded is called when a call ends,
@@ -107,6 +110,7 @@
 	budgets           map[string]*budget
 	meanLatencies     map[string]time.Duration
 	ledger            *quarantine.Ledger
+	distances         *distances
 	held              atomic.Pointer[holds]
 	nodeCount         int
 	lastRequestNumber atomic.Uint64
@@ -138,6 +142,7 @@
 
 type candidatesMessage struct {
 	service string
+	latency time.Duration
 	exclude []string
 	reply   task.Reply[[]candidate]
 }
@@ -167,7 +172,7 @@
 	r := &Router{
 		config: config, clock: clock, log: log, observer: observer, inbox: task.NewInbox[message](inboxSize), requestChart: requestChart, stopping: make(chan struct{}),
 		servers: map[string][]*server{}, selectors: map[string]*weightedSelector{}, budgets: map[string]*budget{}, meanLatencies: map[string]time.Duration{}, nodeCount: 1,
-		ledger: ledger,
+		ledger: ledger, distances: newDistances(config.farRoundTrip),
 	}
 	r.held.Store(&holds{})
 	return r, nil
@@ -224,11 +229,13 @@
 		p, err := r.planCall(m.plan.host, m.plan.path)
 		m.plan.reply <- planResult{plan: p, err: err}
 	case m.candidates != nil:
-		m.candidates.reply <- r.candidates(m.candidates.service, m.candidates.exclude)
+		m.candidates.reply <- r.candidates(m.candidates.service, m.candidates.latency, m.candidates.exclude)
 	case m.retry != nil:
 		m.retry.reply <- r.spendRetry(m.retry.service)
 	case m.observation != nil:
 		r.recordObservation(m.observation)
+	case m.searched != nil:
+		r.recordSearch(m.searched)
 	case m.latency != nil:
 		r.recordLatency(m.latency)
 		r.recordSuccess(m.latency.fingerprint)
@@ -288,7 +295,7 @@
 	}
 	service := r.selectors[key].next(route.Services())
 	r.budget(service).deposit(r.clock.Now(), r.config.retryLimits, r.nodeCount, 1)
-	return plan{route: route, service: service, version: r.snapshot.Version(), meanLatency: r.meanLatencies[key], candidates: r.candidates(service, nil)}, nil
+	return plan{route: route, service: service, version: r.snapshot.Version(), meanLatency: r.meanLatencies[key], candidates: r.candidates(service, r.meanLatencies[key], nil)}, nil
 }
 
 // routeKey identifies a route across versions of the configuration.
--- a/savorygap-node/internal/metrics/metrics.go
+++ b/savorygap-node/internal/metrics/metrics.go
@@ -23,6 +23,7 @@
 	requestSeconds    *prometheus.HistogramVec
 	serverRequests    *prometheus.CounterVec
 	serverSeconds     *prometheus.HistogramVec
+	searches          *prometheus.CounterVec
 	retries           *prometheus.CounterVec
 	storeCalls        *prometheus.CounterVec
 	storeSeconds      *prometheus.HistogramVec
@@ -40,13 +41,14 @@
 		requestSeconds:    prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "savorygap_request_seconds", Help: "Time from a request to its answer.", Buckets: latencyBuckets}, []string{"outcome"}),
 		serverRequests:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_server_requests_total", Help: "Requests sent to the server on this host by outcome."}, []string{"service", "outcome"}),
 		serverSeconds:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "savorygap_server_seconds", Help: "Time that the server on this host took.", Buckets: latencyBuckets}, []string{"outcome"}),
+		searches:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_searches_total", Help: "Searches for a slot by service and by whether servers in far data centres were asked."}, []string{"service", "scope"}),
 		retries:           prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_retries_total", Help: "Further attempts by service."}, []string{"service"}),
 		storeCalls:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_store_calls_total", Help: "Calls to the platform's store by kind and status, 0 for no answer."}, []string{"call", "status"}),
 		storeSeconds:      prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "savorygap_store_seconds", Help: "Time that calls to the store took.", Buckets: latencyBuckets}, []string{"call"}),
 		healthChecks:      prometheus.NewCounter(prometheus.CounterOpts{Name: "savorygap_health_checks_total", Help: "Health checks sent to the server on this host."}),
 		serverConnections: prometheus.NewCounter(prometheus.CounterOpts{Name: "savorygap_server_connections_total", Help: "Connections opened to the server on this host."}),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.serverRequests, m.serverSeconds, m.retries, m.storeCalls, m.storeSeconds, m.healthChecks, m.serverConnections)
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.serverRequests, m.serverSeconds, m.searches, m.retries, m.storeCalls, m.storeSeconds, m.healthChecks, m.serverConnections)
 	return m
 }
 
@@ -68,6 +70,11 @@
 	m.serverSeconds.WithLabelValues(outcome).Observe(took.Seconds())
 }
 
+// CountSearch counts a search for a slot of the service.
+func (m *Metrics) CountSearch(service, scope string) {
+	m.searches.WithLabelValues(service, scope).Inc()
+}
+
 // CountRetry counts a retry of a request to the service.
 func (m *Metrics) CountRetry(service string) { m.retries.WithLabelValues(service).Inc() }
 
--- a/savorygap-node/internal/routing/routing.go
+++ b/savorygap-node/internal/routing/routing.go
@@ -31,8 +31,9 @@
 	limits := dispatch.NewRetryLimits(t.RetryRatio(), t.MinRetries(), t.RetryWindow())
 	observer := dispatch.NewObserver(p.Metrics().ObserveRequest, p.Metrics().CountRetry, func(r quarantine.Record) {
 		p.Fleet().SendSuspicions([]quarantine.Record{r})
-	})
-	router, err := dispatch.NewRouter(dispatch.NewConfig(t.Host(), t.Service(), t.DataCentre(), limits), p.Charts(), p.Clock(), p.Log(), observer)
+	}).WithSearched(p.Metrics().CountSearch)
+	config := dispatch.NewConfig(t.Host(), t.Service(), t.DataCentre(), limits).WithFarRoundTrip(t.FarRoundTrip())
+	router, err := dispatch.NewRouter(config, p.Charts(), p.Clock(), p.Log(), observer)
 	if err != nil {
 		return err
 	}
--- a/savorygap-node/internal/settings/settings.go
+++ b/savorygap-node/internal/settings/settings.go
@@ -32,6 +32,8 @@
 	Store           fileStore  `yaml:"store"`
 	Retries         fileRetry  `yaml:"retries"`
 	Drain           fileDrain  `yaml:"drain"`
+	// Sections that are missing turn off what they set.
+	DataCentres fileDataCentres `yaml:"dataCentres"`
 }
 
 type fileListen struct {
@@ -57,6 +59,10 @@
 	Grace time.Duration `yaml:"grace"`
 }
 
+type fileDataCentres struct {
+	FarRoundTrip time.Duration `yaml:"farRoundTrip"`
+}
+
 // Tree holds the settings of a node.
 type Tree struct {
 	file file
@@ -215,3 +221,6 @@
 		t.file.Drain.Grace = d
 	}
 }
+
+// FarRoundTrip returns the round-trip time above which a data centre is far, 0 if none is.
+func (t *Tree) FarRoundTrip() time.Duration { return t.file.DataCentres.FarRoundTrip }
--- a/savorygap-node/internal/settings/settings_test.go
+++ b/savorygap-node/internal/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -45,6 +46,15 @@
 	must.Eq(t, "ip", missing.Setting())
 }
 
+func TestRead_DistanceIsOffUnlessSet(t *testing.T) {
+	tree, err := read(t, complete)
+	must.NoError(t, err)
+	must.Eq(t, 0, tree.FarRoundTrip())
+	tree, err = read(t, complete+"dataCentres: {farRoundTrip: 5ms}\n")
+	must.NoError(t, err)
+	must.Eq(t, 5*time.Millisecond, tree.FarRoundTrip())
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add(complete)
 	f.Add("host: [")
