--- a/savorygap-node/internal/routing/routing.go
+++ b/savorygap-node/internal/routing/routing.go
@@ -32,9 +32,10 @@
 	limits := dispatch.NewRetryLimits(t.RetryRatio(), t.MinRetries(), t.RetryWindow())
 	observer := dispatch.NewObserver(p.Metrics().ObserveRequest, p.Metrics().CountRetry, func(r quarantine.Record) {
 		p.Fleet().SendSuspicions([]quarantine.Record{r})
-	})
+	}).WithSearched(p.Metrics().CountSearch)
 	config := dispatch.NewConfig(t.Host(), t.Service(), t.DataCentre(), limits).
-		WithTenants(platform.HeaderNames().Tenant(), platform.AuthenticationScheme, func(id string) bool { return p.ServerProxy().RunsParent(id) })
+		WithTenants(platform.HeaderNames().Tenant(), platform.AuthenticationScheme, func(id string) bool { return p.ServerProxy().RunsParent(id) }).
+		WithFarRoundTrip(t.FarRoundTrip())
 	router, err := dispatch.NewRouter(config, p.Charts(), p.Clock(), p.Log(), observer)
 	if err != nil {
 		return err
