quota: owners, credits and fallbacks for the limits of tenants

Cause: nothing limits what a tenant sends over all nodes together.

Change: lib/quota decides who may send: a bucket at the owner of each tenant, credits at the nodes that ask, a fallback where no owner answers. It has no clock and no goroutines. docs/design/quotas.md derives the constants from the bound.

--- /dev/null
+++ b/lib/quota/doc.go
@@ -0,0 +1,21 @@
+// Package quota decides how many requests of a tenant a fleet of nodes sends to
+// servers.
+//
+// Each tenant has one owner among the nodes, found by rendezvous hashing. The owner
+// holds a token bucket and answers the questions of the other nodes with credits. A node
+// that gets no answer uses a small bucket of its own, its fallback. docs/design/quotas.md
+// derives the constants from the bound.
+//
+// # Usage
+//
+//	n := quota.NewNode("host-1", bounds, send, settle, observer)
+//	n.Configure(now, limits)
+//	n.SetView(now, quota.NewView("host-1", linked, members, false))
+//	if !n.Take(now, "hule930") {
+//		n.Request(now, "hule930", id) // settle is called with the verdict
+//	}
+//
+// A Node belongs to one goroutine, except its accounts, whose credits any goroutine may
+// take. The package has no clock and no goroutines; lib/quota/controller is the task
+// around it.
+package quota
--- /dev/null
+++ b/lib/quota/owner.go
@@ -0,0 +1,113 @@
+package quota
+
+import "time"
+
+const (
+	// startAge is how long after its first configuration a process counts as just
+	// started. Links to all members are up by then.
+	startAge = 3 * time.Second
+	// batchShare is the fraction of the tokens left that one question may take beyond the
+	// requests that wait, so that the first to ask does not leave the others without.
+	batchShare = 0.25
+)
+
+// Owner holds the buckets of the tenants that this node owns.
+type Owner struct {
+	bounds       Bounds
+	limits       map[string]Limit
+	buckets      map[string]*ownedBucket
+	configuredAt time.Time // the first configuration
+}
+
+// ownedBucket is the bucket of a tenant. started is the part of the start tokens that it
+// was given.
+type ownedBucket struct {
+	bucket  Bucket
+	share   float64
+	started float64
+	isYoung bool
+}
+
+// NewOwner returns an owner without limits.
+func NewOwner(bounds Bounds) *Owner {
+	return &Owner{bounds: bounds, limits: map[string]Limit{}, buckets: map[string]*ownedBucket{}}
+}
+
+// Configure sets the limits of all tenants. A bucket keeps its tokens up to its new
+// capacity.
+func (o *Owner) Configure(now time.Time, limits map[string]Limit) {
+	if o.configuredAt.IsZero() && len(limits) > 0 {
+		o.configuredAt = now
+	}
+	o.limits = limits
+	for tenant, b := range o.buckets {
+		if l, ok := limits[tenant]; ok {
+			o.size(now, b, l, b.share)
+		} else {
+			delete(o.buckets, tenant)
+		}
+	}
+}
+
+// size sets the rate and the capacity of a bucket for a share of the members.
+func (o *Owner) size(now time.Time, b *ownedBucket, l Limit, share float64) {
+	b.bucket.Reconfigure(now, share*l.rate, max(share*o.bounds.Capacity(l), 1))
+	b.share = share
+}
+
+// SetView drops the buckets of tenants that this node no longer owns, and adapts the
+// others to the share of the members that it is linked to.
+func (o *Owner) SetView(now time.Time, v *View) {
+	for tenant, b := range o.buckets {
+		if v.isAlone() || v.Owner(tenant) != v.self {
+			delete(o.buckets, tenant)
+			continue
+		}
+		l, grown := o.limits[tenant], v.Share()-b.share
+		o.size(now, b, l, v.Share())
+		if b.isYoung && grown > 0 && now.Sub(o.configuredAt) < startAge {
+			added := grown * o.bounds.Start(l)
+			b.started += added
+			b.bucket.add(now, added)
+		}
+	}
+}
+
+// Answer answers a question.
+func (o *Owner) Answer(now time.Time, v *View, q Question) Answer {
+	l, ok := o.limits[q.tenant]
+	if !ok || v.isAlone() || v.Owner(q.tenant) != v.self {
+		return NewAnswer(q.number, 0, 0, false)
+	}
+	b, ok := o.buckets[q.tenant]
+	if !ok {
+		b = o.newBucket(now, v, l)
+		o.buckets[q.tenant] = b
+	}
+	if q.moved && b.isYoung {
+		// Another owner was at work before this process started.
+		b.bucket.add(now, -b.started)
+		b.isYoung = false
+	}
+	granted := b.bucket.Take(now, q.needed)
+	if extra := q.wanted - q.needed; granted == q.needed && extra > 0 {
+		granted += b.bucket.Take(now, min(extra, int(batchShare*b.bucket.Tokens(now))))
+	}
+	return NewAnswer(q.number, granted, b.bucket.UntilToken(now), true)
+}
+
+// newBucket returns the bucket of a tenant that is asked for the first time. It holds
+// what it gained while nobody asked.
+func (o *Owner) newBucket(now time.Time, v *View, l Limit) *ownedBucket {
+	b := &ownedBucket{share: v.Share(), isYoung: now.Sub(o.configuredAt) < startAge}
+	since, tokens := v.changedAt, takeoverTokens
+	if o.configuredAt.After(since) {
+		since = o.configuredAt
+	}
+	if b.isYoung {
+		b.started = b.share * o.bounds.Start(l)
+		tokens = b.started
+	}
+	b.bucket = NewBucket(since, b.share*l.rate, max(b.share*o.bounds.Capacity(l), 1), tokens)
+	return b
+}
