quota,link,fleet,dispatch,savorygap-node: limits of tenants are applied

Cause: lib/quota decided, but no request asked it.

Change: lib/quota/controller is the task around the decisions; a credit at hand takes no message. The fleet passes on its members, before a configuration comes into force. Calls of a tenant wait for their credit before they are submitted, and get 429 without one. The step quotas starts all this where the settings hold the bounds of quotas.

Result: go test -race of lib/dispatch, lib/fleet, lib/link, lib/quota/..., lib/routeconfig and savorygap-node passes.

--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"savorygap.example/lib/chart"
+	"savorygap.example/lib/quota/controller"
 	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
 )
@@ -93,6 +94,9 @@
 	hedgeCause   hedgeCause
 	// isUnauthorized is whether the call ends for want of a valid API key.
 	isUnauthorized bool
+	// isOverQuota is whether the call ends since it is above the limit of its tenant.
+	isOverQuota bool
+	claim       controller.Claim
 	// failedResponse is the error response of an earlier attempt, and
 	// uncertainReason the reason why the outcome of an earlier attempt is
 	// unknown. The call ends with them if no further slot is found.
@@ -154,6 +158,14 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, p.deadline)
 	defer cancel()
+	p.beginClaim()
+	defer p.endClaim()
+	if p.claim.IsDoubtful() {
+		// A call that is likely to be refused takes no slot.
+		if response, ok := p.awaitCredit(ctx); !ok {
+			return response
+		}
+	}
 	candidates := p.plan.candidates
 	for reservations := 0; ; reservations++ {
 		offer, ok := p.findSlot(ctx, candidates)
@@ -164,6 +176,10 @@
 			offer.event.Endpoint().Withdraw(offer.event.Number())
 			return p.endWithoutSlot()
 		}
+		if response, ok := p.awaitCredit(ctx); !ok {
+			offer.event.Endpoint().Withdraw(offer.event.Number())
+			return response
+		}
 		p.fire(eventSend)
 		end := p.execute(ctx, offer)
 		response, again := p.handleAttemptEnd(ctx, end, reservations)
--- /dev/null
+++ b/lib/dispatch/quota_test.go
@@ -0,0 +1,132 @@
+package dispatch_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"savorygap.example/lib/chart"
+	"savorygap.example/lib/dispatch"
+	"savorygap.example/lib/eventlog"
+	"savorygap.example/lib/fleet"
+	"savorygap.example/lib/link"
+	"savorygap.example/lib/quarantine"
+	"savorygap.example/lib/quota"
+	"savorygap.example/lib/quota/controller"
+	"savorygap.example/lib/routeconfig"
+	"savorygap.example/lib/upstream"
+)
+
+const (
+	quotaRate = 1.0 // requests a second; three may be sent at the start
+	quotaKey  = "key-choir"
+	nestedID  = "id-1.2"
+)
+
+// newQuotaRouter returns a router for a tenant with a limit, on the only node of a fleet.
+func newQuotaRouter(t *testing.T, servers ...*fakeServer) *dispatch.Router {
+	t.Helper()
+	charts, err := chart.Embedded()
+	must.NoError(t, err)
+	clock := clockwork.NewRealClock()
+	settings := dispatch.NewConfig("self", "none", "north", dispatch.NewRetryLimits(0.2, 50, 10*time.Second)).
+		WithTenants("Tenant-Name", "Token", func(id string) bool { return id == nestedID })
+	observer := dispatch.NewObserver(func(string, string, time.Duration) {}, func(string) {}, func(quarantine.Record) {})
+	r, err := dispatch.NewRouter(settings, charts, clock, eventlog.New(io.Discard, clock, "self"), observer)
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	c := controller.New(func(run func(context.Context)) { go run(ctx) }, controller.NewConfig("self", quota.NewBounds(5*time.Second, 0.1, 20)), clock,
+		eventlog.New(io.Discard, clock, "self"), controller.NewObserver(func(quota.Source, int) {}, func(quota.Source) {}, func(int) {}))
+	c.SetMembership(controller.NewMembership(nil, 1, false))
+	c.Configure([]quota.Limit{quota.NewLimit("choir", quotaRate, quotaRate)})
+	r.UseQuotas(c.Begin)
+	go r.Run(ctx)
+	route := routeconfig.NewRoute("farm", "/read/", "read", routeconfig.KindIdempotent, []routeconfig.WeightedService{routeconfig.NewWeightedService("shop", 1)}).
+		WithLatency(time.Second, 400*time.Millisecond).WithMaxAttempts(2)
+	open := routeconfig.NewRoute("farm", "/open/", "open", routeconfig.KindIdempotent, []routeconfig.WeightedService{routeconfig.NewWeightedService("shop", 1)}).WithAnonymous(true)
+	tenant := routeconfig.NewTenant("choir", []string{quotaKey}).WithQuota(quotaRate, quotaRate)
+	config := routeconfig.New(2, []routeconfig.Route{route, open}, nil, routeconfig.DefaultLimits()).WithTenants([]routeconfig.Tenant{tenant})
+	r.SetSnapshot(fleet.NewSnapshot(2, config))
+	var peers []fleet.Peer
+	for _, s := range servers {
+		peers = append(peers, fleet.NewPeer(s.node, "north", link.NewServerState(s.service, "i-"+s.node, true), s.endpoint))
+	}
+	r.SetPeers(peers)
+	return r
+}
+
+func (s *fakeServer) serveAll(r *dispatch.Router, count int) (statuses map[int]int, last *upstream.Response) {
+	statuses = map[int]int{}
+	for range count {
+		last = r.Serve(context.Background(), call("/read/1", "id").WithAPIKey(quotaKey))
+		statuses[last.Status()]++
+	}
+	return statuses, last
+}
+
+// TestCallsAboveTheLimit_Get429 guards against calls above the limit of their tenant that
+// reach a server, and against callers that all return at the same instant.
+func TestCallsAboveTheLimit_Get429(t *testing.T) {
+	a := newFakeServer("a", "shop", 1)
+	a.finalEvent = respondWith(http.StatusOK)
+	r := newQuotaRouter(t, a)
+	statuses, last := a.serveAll(r, 20)
+	must.Eq(t, 3, statuses[http.StatusOK])
+	must.Eq(t, 17, statuses[http.StatusTooManyRequests])
+	must.Eq(t, 3, len(a.submitted))
+	must.StrContains(t, string(last.Body()), `"over-quota"`)
+	must.StrContains(t, string(last.Body()), "the owner self")
+	distinct := map[string]bool{}
+	for range 5 {
+		refused := r.Serve(context.Background(), call("/read/1", "id").WithAPIKey(quotaKey))
+		after, err := strconv.ParseFloat(refused.Header().Get("Retry-After"), 64)
+		must.NoError(t, err)
+		must.Positive(t, after)
+		distinct[refused.Header().Get("Retry-After")] = true
+	}
+	must.GreaterEq(t, 3, len(distinct))
+}
+
+// TestCallWithoutSlot_GivesItsCreditBack guards against credits that are lost with calls
+// that no server got.
+func TestCallWithoutSlot_GivesItsCreditBack(t *testing.T) {
+	a := newFakeServer("a", "shop", 1)
+	a.refusal = "no place"
+	r := newQuotaRouter(t, a)
+	statuses, _ := a.serveAll(r, 10)
+	must.Eq(t, 10, statuses[http.StatusServiceUnavailable])
+	must.Eq(t, 0, len(a.submitted))
+}
+
+// TestRetriedCall_TakesOneCredit guards against retries that count against the limit.
+func TestRetriedCall_TakesOneCredit(t *testing.T) {
+	a, b := newFakeServer("a", "shop", 1), newFakeServer("b", "shop", 2)
+	a.finalEvent, b.finalEvent = respondWith(http.StatusInternalServerError), respondWith(http.StatusOK)
+	r := newQuotaRouter(t, a, b)
+	statuses, _ := a.serveAll(r, 3)
+	must.Eq(t, 3, statuses[http.StatusOK])
+	must.Eq(t, 3, len(a.submitted))
+	must.Eq(t, 3, len(b.submitted))
+}
+
+// TestCallsOfNoTenant_TakeNoCredit guards against anonymous calls and calls of running
+// requests that count against a limit.
+func TestCallsOfNoTenant_TakeNoCredit(t *testing.T) {
+	a := newFakeServer("a", "shop", 1)
+	a.finalEvent = respondWith(http.StatusOK)
+	r := newQuotaRouter(t, a)
+	for range 10 {
+		must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/open/1", "id")).Status())
+		must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/read/1", nestedID).WithNested(true)).Status())
+		must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/read/1", nestedID).WithNested(true).WithAPIKey(quotaKey)).Status())
+	}
+	statuses, _ := a.serveAll(r, 3)
+	must.Eq(t, 3, statuses[http.StatusOK])
+}
--- a/lib/dispatch/response.go
+++ b/lib/dispatch/response.go
@@ -98,6 +98,9 @@
 	if p.isUnauthorized {
 		outcome = outcomeUnauthorized
 	}
+	if p.isOverQuota {
+		outcome = outcomeOverQuota
+	}
 	p.router.observer.requestEnded(route, outcome, took)
 	p.router.log.Write("request", "request", p.call.request.ID(), "outcome", outcome, "status", response.Status(), "took_ms", took.Milliseconds(),
 		"route", route, "tenant", p.tenantName(), "service", p.plan.service, "version", p.plan.version, "node", p.node, "cost", p.cost, "asked", p.serversAsked,
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -13,6 +13,7 @@
 	"savorygap.example/lib/eventlog"
 	"savorygap.example/lib/fleet"
 	"savorygap.example/lib/quarantine"
+	"savorygap.example/lib/quota/controller"
 	"savorygap.example/lib/routeconfig"
 	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
@@ -113,6 +114,7 @@
 	nodeCount         int
 	lastRequestNumber atomic.Uint64
 	active            atomic.Int64
+	beginClaim        func(tenant string) controller.Claim // nil without quotas
 }
 
 // server is the router's record of one server: its last published state, the
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -104,6 +104,7 @@
 	removeMember func(registry.Record)
 	suspicions   func([]quarantine.Record)
 	heldRequests func() []quarantine.Record
+	quotas       quotaHooks
 }
 
 // NewHooks returns hooks:
@@ -162,7 +163,9 @@
 	dials          int // under way
 	registered     bool
 	dialStopped    bool
-	watchShare     atomic.Uint64 // bits of a float64
+	stopping       bool
+	stoppingNodes  map[string]bool // peers that are stopping
+	watchShare     atomic.Uint64   // bits of a float64
 }
 
 // dialState holds the attempts to dial a member to which there is no link.
@@ -220,7 +223,7 @@
 	f := &Fleet{
 		self: self, hooks: hooks, handler: handler, clock: clock, log: log,
 		inbox: task.NewInbox[message](inboxSize), serverStates: task.NewLatest[link.ServerState](),
-		members: map[string]Member{}, departures: map[string]registry.Record{}, removals: map[string]uint64{}, dialStates: map[string]*dialState{}, links: map[uint64]*peerLink{},
+		members: map[string]Member{}, departures: map[string]registry.Record{}, removals: map[string]uint64{}, dialStates: map[string]*dialState{}, stoppingNodes: map[string]bool{}, links: map[uint64]*peerLink{},
 		serverState: link.NewServerState(self.service, "", false),
 	}
 	configuration, err := charts.Chart("configuration")
@@ -364,6 +367,9 @@
 		f.handleLinkEnded(m.ended)
 	case m.stopDialling:
 		f.dialStopped = true
+		f.announceStopping()
+	case m.stopping != nil:
+		f.handleStopping(m.stopping)
 	case m.dump != nil:
 		m.dump <- Dump{
 			state: string(f.machine.State()), version: f.snapshot.version, evacuated: f.snapshot.EvacuatedDataCentres(),
--- a/lib/fleet/links.go
+++ b/lib/fleet/links.go
@@ -63,7 +63,7 @@
 }
 
 func (f *Fleet) linkHooks() link.Hooks {
-	return link.NewHooks(
+	return f.withQuotas(link.NewHooks(
 		func(l *link.Link, h link.Hello) { f.inbox.Send(message{hello: &helloMessage{link: l, hello: h}}) },
 		func(l *link.Link, s link.ServerState) {
 			f.inbox.Send(message{serverState: &serverStateMessage{link: l, serverState: s}})
@@ -82,7 +82,7 @@
 			f.inbox.Send(message{silence: &silenceMessage{link: l, silent: silent}})
 		},
 		func(l *link.Link, err error) { f.inbox.Send(message{ended: &linkEnded{link: l, err: err}}) },
-	)
+	))
 }
 
 // handleSignal handles a signal. It is called from the task of the link.
@@ -96,6 +96,8 @@
 		f.inbox.Send(message{busy: l})
 	case link.EntryLost:
 		f.hooks.entryLost()
+	case link.Stopping:
+		f.inbox.Send(message{stopping: l})
 	}
 }
 
@@ -108,6 +110,9 @@
 	p := &peerLink{link: l, startedAt: f.clock.Now()}
 	f.links[l.ID()] = p
 	l.SendHello(f.hello())
+	if f.stopping {
+		l.SendSignal(link.Stopping)
+	}
 	go l.Run(ctx)
 	return p
 }
@@ -147,6 +152,7 @@
 // completeHandshake records the hello of a peer and passes the peers to the hooks.
 func (f *Fleet) completeHandshake(p *peerLink, h link.Hello) {
 	p.hello, p.serverState, p.helloReceived = h, h.ServerState(), true
+	delete(f.stoppingNodes, h.Node())
 	f.log.Write("link-up", "peer", h.Node(), "address", h.Address(), "service", h.ServerState().Service(), "open", h.ServerState().Accepting(), "version", h.Versions().Configuration(), "evacuation", h.Versions().Evacuation())
 	f.learnMember(h)
 	if d, ok := f.departures[h.Node()]; ok {
@@ -233,18 +239,10 @@
 	}
 }
 
-// publishPeers passes the peers to the hooks and updates the share of watches. Of
-// two links to the same node the newer one is used, and none that is silent.
+// publishPeers passes the peers to the hooks and updates the share of watches.
 func (f *Fleet) publishPeers() {
-	newest := map[string]*peerLink{}
-	for _, p := range f.links {
-		if !p.helloReceived || p.silent {
-			continue
-		}
-		if other, ok := newest[p.hello.Node()]; !ok || other.link.ID() < p.link.ID() {
-			newest[p.hello.Node()] = p
-		}
-	}
+	newest := f.newestLinks()
+	f.publishMembership(newest)
 	own := watchWeight(f.self.bandwidth)
 	total := own
 	peers := make([]Peer, 0, len(newest))
--- a/lib/fleet/messages.go
+++ b/lib/fleet/messages.go
@@ -9,8 +9,8 @@
 	"savorygap.example/lib/task"
 )
 
-// message is a closed union; exactly one field is set. fetch and busy hold the link
-// that received the signal.
+// message is a closed union; exactly one field is set. fetch, busy and stopping hold the
+// link that received the signal.
 type message struct {
 	update       *registry.Update
 	accepted     *acceptedConn
@@ -29,6 +29,7 @@
 	silence      *silenceMessage
 	ended        *linkEnded
 	stopDialling bool
+	stopping     *link.Link
 	dump         task.Reply[Dump]
 }
 
--- a/lib/fleet/update.go
+++ b/lib/fleet/update.go
@@ -67,6 +67,9 @@
 		f.keepDepartures(departures)
 		f.hooks.departures(departures, true)
 	}
+	if len(members) > 0 || u.Full() {
+		f.membershipUpdated()
+	}
 	f.mergeChange(change)
 	if u.Full() {
 		f.notifyUnlisted()
@@ -207,6 +210,7 @@
 			f.applyMember(r)
 		}
 	}
+	f.membersChanged()
 	f.hooks.nodes(len(f.members))
 	f.tick(ctx)
 }
--- a/lib/link/codec.go
+++ b/lib/link/codec.go
@@ -165,6 +165,10 @@
 		return encodeSuspicions(m.suspicions)
 	case m.snapshot != nil:
 		return encodeSnapshot(m.snapshot)
+	case m.quotaQuestion != nil:
+		return encodeQuotaQuestion(m.quotaQuestion)
+	case m.quotaAnswer != nil:
+		return encodeQuotaAnswer(m.quotaAnswer)
 	}
 	return newEncoder(typePing, 0).frame()
 }
--- a/lib/link/decode.go
+++ b/lib/link/decode.go
@@ -139,6 +139,10 @@
 		return Message{suspicions: records}, err == nil && len(records) > 0, err
 	case typeSnapshot:
 		return decodeSnapshot(f)
+	case typeQuotaRequest:
+		return decodeQuotaQuestion(f), true, nil
+	case typeQuotaGrant:
+		return decodeQuotaAnswer(f), true, nil
 	}
 	return Message{}, false, nil
 }
@@ -146,7 +150,7 @@
 // decodeSignal decodes a signal and reports false for one that this release does
 // not know.
 func decodeSignal(number uint64) (Message, bool, error) {
-	if number == uint64(noSignal) || number > uint64(EntryLost) {
+	if number == uint64(noSignal) || number > uint64(Stopping) {
 		return Message{}, false, nil
 	}
 	return Message{signal: Signal(number)}, true, nil
--- a/lib/link/exchange.go
+++ b/lib/link/exchange.go
@@ -199,6 +199,10 @@
 		l.hooks.suspicions(m.suspicions)
 	case m.snapshot != nil:
 		l.hooks.snapshot(l, *m.snapshot)
+	case m.quotaQuestion != nil:
+		l.hooks.quotaQuestion(l, *m.quotaQuestion)
+	case m.quotaAnswer != nil:
+		l.hooks.quotaAnswer(l, *m.quotaAnswer)
 	}
 }
 
--- a/lib/link/link.go
+++ b/lib/link/link.go
@@ -13,6 +13,7 @@
 
 	"savorygap.example/lib/limiter"
 	"savorygap.example/lib/quarantine"
+	"savorygap.example/lib/quota"
 	"savorygap.example/lib/registry"
 	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
@@ -98,12 +99,16 @@
 	snapshot    func(l *Link, s Snapshot)
 	silence     func(l *Link, silent bool)
 	closed      func(l *Link, err error)
+
+	quotaQuestion func(l *Link, q quota.Question)
+	quotaAnswer   func(l *Link, a quota.Answer)
 }
 
 // NewHooks returns hooks made of ten functions. silence reports that the peer has
 // become silent, and that it is heard again.
 func NewHooks(hello func(*Link, Hello), serverState func(*Link, ServerState), versions func(*Link, Versions), signal func(*Link, Signal), members, departures func([]registry.Record), suspicions func([]quarantine.Record), snapshot func(*Link, Snapshot), silence func(*Link, bool), closed func(*Link, error)) Hooks {
-	return Hooks{hello: hello, serverState: serverState, versions: versions, signal: signal, members: members, departures: departures, suspicions: suspicions, snapshot: snapshot, silence: silence, closed: closed}
+	return Hooks{hello: hello, serverState: serverState, versions: versions, signal: signal, members: members, departures: departures, suspicions: suspicions, snapshot: snapshot, silence: silence, closed: closed,
+		quotaQuestion: func(*Link, quota.Question) {}, quotaAnswer: func(*Link, quota.Answer) {}}
 }
 
 // PeerTimeoutError reports that nothing was received from a peer for too long.
@@ -171,6 +176,7 @@
 	cancel   *uint64
 	received *Message
 	failed   error
+	quota    *quota.Question
 }
 
 type reserveCommand struct {
@@ -344,6 +350,8 @@
 	case c.cancel != nil:
 		delete(l.pending, *c.cancel)
 		l.enqueue(Encode(Message{cancel: c.cancel}))
+	case c.quota != nil:
+		l.handleQuota(c.quota)
 	case c.received != nil:
 		l.endSilence()
 		l.handleReceived(c.received)
--- a/lib/link/message.go
+++ b/lib/link/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"savorygap.example/lib/quarantine"
+	"savorygap.example/lib/quota"
 	"savorygap.example/lib/registry"
 	"savorygap.example/lib/upstream"
 )
@@ -153,6 +154,8 @@
 	Busy
 	// EntryLost reports that the store no longer has the receiver's entry.
 	EntryLost
+	// Stopping reports that the sender is stopping. It no longer counts as a member.
+	Stopping
 )
 
 // Message is a closed union; exactly one field is set. Only a received event also
@@ -176,6 +179,9 @@
 	departures   []registry.Record
 	suspicions   []quarantine.Record
 	snapshot     *Snapshot
+
+	quotaQuestion *quota.Question
+	quotaAnswer   *quota.Answer
 }
 
 // numberedSlotRequest is a slot request with its number on the link.
--- a/lib/quota/message.go
+++ b/lib/quota/message.go
@@ -86,6 +86,15 @@
 	expiresAt  time.Time
 }
 
+// Admit returns the verdict on a request that took a credit at hand, which may be returned
+// until the given time.
+func Admit(expiresAt time.Time) Verdict {
+	return Verdict{admitted: true, source: FromOwner, expiresAt: expiresAt}
+}
+
+// Unlimited returns the verdict on a request of a tenant without a limit.
+func Unlimited() Verdict { return Verdict{admitted: true, source: FromNoLimit} }
+
 // Admitted reports whether the request may be sent.
 func (v Verdict) Admitted() bool { return v.admitted }
 
--- a/lib/quota/node.go
+++ b/lib/quota/node.go
@@ -78,7 +78,7 @@
 			w.account.Clear()
 		}
 		if !ok {
-			n.settleAll(w, Verdict{admitted: true, source: FromNoLimit})
+			n.settleAll(w, Unlimited())
 			delete(n.wallets, tenant)
 			continue
 		}
@@ -115,7 +115,7 @@
 func (n *Node) Request(now time.Time, tenant string, id uint64) {
 	l, ok := n.owner.limits[tenant]
 	if !ok {
-		n.settle(id, Verdict{admitted: true, source: FromNoLimit})
+		n.settle(id, Unlimited())
 		return
 	}
 	w, ok := n.wallets[tenant]
--- a/lib/routeconfig/tenant.go
+++ b/lib/routeconfig/tenant.go
@@ -55,6 +55,19 @@
 	return &copied
 }
 
+// Tenants returns the tenants that have an API key, in no particular order.
+func (c *Config) Tenants() []*Tenant {
+	seen := make(map[*Tenant]bool, len(c.tenants))
+	list := make([]*Tenant, 0, len(c.tenants))
+	for _, t := range c.tenants {
+		if !seen[t] {
+			seen[t] = true
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 // HasTenants reports whether requests need an API key, unless their route is anonymous.
 func (c *Config) HasTenants() bool { return c.hasTenants }
 
--- a/savorygap-node/internal/links/links.go
+++ b/savorygap-node/internal/links/links.go
@@ -7,9 +7,11 @@
 	"savorygap.example/lib/fleet"
 	"savorygap.example/lib/link"
 	"savorygap.example/lib/registry"
+	"savorygap.example/lib/routeconfig"
 	"savorygap.example/lib/serverproxy"
 	"savorygap.example/platform"
 	"savorygap.example/savorygap-node/internal/process"
+	"savorygap.example/savorygap-node/internal/quotas"
 	"savorygap.example/savorygap-node/internal/servers"
 	"savorygap.example/savorygap-node/internal/settings"
 	"savorygap.example/savorygap-node/internal/storage"
@@ -30,9 +32,11 @@
 		return err
 	}
 	proxy := p.ServerProxy()
+	var configureQuotas func(*routeconfig.Config)
 	hooks := fleet.NewHooks(
 		platform.DecodeConfiguration,
 		func(s fleet.Snapshot) {
+			configureQuotas(s.Config())
 			proxy.SetSnapshot(serverproxy.NewSnapshot(s.Config(), s.Evacuated(t.DataCentre()), s.Version()))
 			p.Router().SetSnapshot(s)
 			p.Frontend().SetLimits(s.Config().Limits())
@@ -56,6 +60,7 @@
 		p.Registrar().RestoreEntry,
 		p.Registrar().RemoveMember,
 	).WithQuarantine(p.Router().ApplySuspicions, p.Router().HeldRequests)
+	hooks, configureQuotas = quotas.AddHooks(p, hooks)
 	self := fleet.NewMember(t.Host(), t.AdvertisedAddress(), t.DataCentre(), t.Service()).WithBandwidth(t.NetworkBandwidth())
 	handler := link.NewHandler(proxy.Reserve, proxy.Withdraw, proxy.Submit, proxy.Cancel, proxy.ReleaseLink, p.RequestMemory(), p.ResponseMemory())
 	f, err := fleet.New(self, p.Charts(), hooks, handler, p.Clock(), p.Log())
--- a/savorygap-node/internal/process/process.go
+++ b/savorygap-node/internal/process/process.go
@@ -23,6 +23,7 @@
 	"savorygap.example/lib/eventlog"
 	"savorygap.example/lib/fleet"
 	"savorygap.example/lib/frontend"
+	"savorygap.example/lib/quota/controller"
 	"savorygap.example/lib/registry"
 	"savorygap.example/lib/serverproxy"
 	"savorygap.example/lib/upstream"
@@ -50,6 +51,7 @@
 	router            *dispatch.Router
 	serverProxy       *serverproxy.Proxy
 	fleet             *fleet.Fleet
+	quotas            *controller.Controller
 	frontend          *frontend.Frontend
 	callerListener    net.Listener
 	machine           *chart.Machine
@@ -137,6 +139,12 @@
 // SetFleet sets the task that keeps the links to the other nodes.
 func (p *Process) SetFleet(f *fleet.Fleet) { p.fleet = f }
 
+// Quotas returns the task that applies the limits of tenants, nil without quotas.
+func (p *Process) Quotas() *controller.Controller { return p.quotas }
+
+// SetQuotas sets the task that applies the limits of tenants.
+func (p *Process) SetQuotas(c *controller.Controller) { p.quotas = c }
+
 // SetFrontend sets the front end that serves callers, and its listener.
 func (p *Process) SetFrontend(f *frontend.Frontend, listener net.Listener) {
 	p.frontend, p.callerListener = f, listener
--- a/savorygap-node/internal/settings/settings.go
+++ b/savorygap-node/internal/settings/settings.go
@@ -32,6 +32,7 @@
 	Store           fileStore  `yaml:"store"`
 	Retries         fileRetry  `yaml:"retries"`
 	Drain           fileDrain  `yaml:"drain"`
+	Quota           *fileQuota `yaml:"quota,omitempty"`
 }
 
 type fileListen struct {
