quota: an owner without a configuration goes by the limit in the question

An owner without it did not answer, so the others refused usual demand by their fallbacks.

Change: questions carry the limit that the asking node knows; the task starts with the first question too. Slot waits of up to 300 ms in the simulation.

--- a/lib/link/quota.go
+++ b/lib/link/quota.go
@@ -47,8 +47,9 @@
 }
 
 func encodeQuotaQuestion(q *quota.Question) []byte {
+	rate, burst := q.Limit()
 	return newEncoder(typeQuotaRequest, 64).varint(1, q.Number()).text(2, q.Tenant()).varint(3, uint64(max(q.Needed(), 0))).
-		varint(4, uint64(max(q.Wanted(), 0))).flag(5, q.Moved()).frame()
+		varint(4, uint64(max(q.Wanted(), 0))).flag(5, q.Moved()).float(6, rate).float(7, burst).frame()
 }
 
 func encodeQuotaAnswer(a *quota.Answer) []byte {
@@ -60,7 +61,8 @@
 
 func decodeQuotaQuestion(f *fields) Message {
 	needed := min(f.count(3), maxQuestion)
-	q := quota.NewQuestion(f.numbers[1], f.text(2), needed, max(needed, min(f.count(4), maxQuestion)), f.numbers[5] != 0)
+	q := quota.NewQuestion(f.numbers[1], f.text(2), needed, max(needed, min(f.count(4), maxQuestion)), f.numbers[5] != 0).
+		WithLimit(math.Float64frombits(f.numbers[6]), math.Float64frombits(f.numbers[7]))
 	return Message{quotaQuestion: &q}
 }
 
--- a/lib/link/quota_test.go
+++ b/lib/link/quota_test.go
@@ -51,7 +51,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	a, b := newQuotaEnd(ctx, dialled, "b", clockwork.NewRealClock()), newQuotaEnd(ctx, accepted, "a", clockwork.NewRealClock())
-	q := quota.NewQuestion(1<<40, "hule930", 3, 12, true)
+	q := quota.NewQuestion(1<<40, "hule930", 3, 12, true).WithLimit(257, 250)
 	must.True(t, a.link.AskQuota(q))
 	must.Eq(t, q, <-b.questions)
 	answer := quota.NewAnswer(1<<40, 7, 25*time.Millisecond, true)
--- a/lib/quota/controller/controller.go
+++ b/lib/quota/controller/controller.go
@@ -59,15 +59,14 @@
 
 // Controller is the task that decides on the requests of tenants with a limit.
 type Controller struct {
-	start    func(run func(ctx context.Context))
-	config   Config
-	clock    clockwork.Clock
-	log      *eventlog.Log
-	observer Observer
-	inbox    *task.Inbox[message]
-	// started and membership belong to the task that calls Configure and SetMembership.
-	started    bool
-	membership Membership
+	start      func(run func(ctx context.Context))
+	config     Config
+	clock      clockwork.Clock
+	log        *eventlog.Log
+	observer   Observer
+	inbox      *task.Inbox[message]
+	started    atomic.Bool
+	membership atomic.Pointer[Membership]
 	accounts   atomic.Pointer[map[string]*quota.Account]
 	lastID     atomic.Uint64
 
@@ -123,38 +122,37 @@
 }
 
 // Configure sets the limits of all tenants and returns once they apply. The first one that is not
-// empty starts the task. It must not be called concurrently with itself or SetMembership.
+// empty starts the task. It must not be called concurrently with itself.
 func (c *Controller) Configure(limits []quota.Limit) {
-	if !c.started && len(limits) == 0 {
+	if !c.started.Load() && len(limits) == 0 {
 		return
 	}
-	if !c.started {
-		c.started = true
-		c.start(c.run)
-		c.inbox.Send(message{membership: &c.membership})
-	}
+	c.ensureStarted()
 	m := &limitsMessage{limits: limits, reply: task.NewReply[bool]()}
 	if c.inbox.Send(message{limits: m}) {
 		m.reply.Wait(context.Background(), c.inbox.Done())
 	}
 }
 
+// ensureStarted starts the task unless it runs.
+func (c *Controller) ensureStarted() {
+	if c.started.CompareAndSwap(false, true) {
+		c.start(c.run)
+	}
+}
+
 // SetMembership sets what this node knows of the others.
 func (c *Controller) SetMembership(m Membership) {
-	if !c.started {
-		c.membership = m
-		return
+	c.membership.Store(&m)
+	if c.started.Load() {
+		c.inbox.Send(message{membership: &m})
 	}
-	c.inbox.Send(message{membership: &m})
 }
 
-// HandleQuestion answers a question of another node, unless too many wait. It never
-// blocks.
+// HandleQuestion answers a question of another node, unless too many wait. A question may
+// come before this node has a configuration. It never blocks.
 func (c *Controller) HandleQuestion(q quota.Question, reply func(quota.Answer)) {
-	if c.accounts.Load() == nil {
-		reply(quota.NewAnswer(q.Number(), 0, 0, false))
-		return
-	}
+	c.ensureStarted()
 	c.inbox.TrySend(message{question: &questionMessage{question: q, reply: reply}})
 }
 
@@ -162,10 +160,12 @@
 // credits then lapse. It never blocks.
 func (c *Controller) HandleAnswer(a quota.Answer) { c.inbox.TrySend(message{answer: &a}) }
 
-// run serves messages until the context ends. The configuration that starts the task is
-// the first message but one, so requests find accounts once it is handled.
+// run serves messages until the context ends.
 func (c *Controller) run(ctx context.Context) {
 	defer c.inbox.Close()
+	if m := c.membership.Load(); m != nil {
+		c.setMembership(c.clock.Now(), m)
+	}
 	for ctx.Err() == nil {
 		c.handleNext(ctx)
 	}
--- a/lib/quota/controller/controller_test.go
+++ b/lib/quota/controller/controller_test.go
@@ -91,9 +91,37 @@
 	claim.Release()
 	must.Eq(t, 0, f.started.Load())
 	must.Eq(t, 0, len(f.questions))
+}
+
+// TestQuestionBeforeTheConfiguration_IsAnswered guards against refusals at the start of a
+// day, when the owner of a tenant gets its first configuration after other nodes.
+func TestQuestionBeforeTheConfiguration_IsAnswered(t *testing.T) {
+	f := newFixture(t)
+	f.withPeer()
 	answers := make(chan quota.Answer, 1)
-	f.HandleQuestion(quota.NewQuestion(7, "any", 1, 1, false), func(a quota.Answer) { answers <- a })
-	must.Eq(t, quota.NewAnswer(7, 0, 0, false), <-answers)
+	f.HandleQuestion(quota.NewQuestion(7, ownedBy("a"), 1, 1, false).WithLimit(3, 3), func(a quota.Answer) { answers <- a })
+	a := <-answers
+	must.True(t, a.Owned())
+	must.Eq(t, 1, a.Granted())
+	f.HandleQuestion(quota.NewQuestion(8, ownedBy("a"), 1, 1, false), func(a quota.Answer) { answers <- a })
+	must.Eq(t, quota.NewAnswer(8, 0, 0, false), <-answers)
+}
+
+// TestCreditAtHand_AllocatesNothing guards the usual case of a request.
+func TestCreditAtHand_AllocatesNothing(t *testing.T) {
+	f := newFixture(t)
+	f.withPeer()
+	tenant := ownedBy("b")
+	f.Configure([]quota.Limit{quota.NewLimit(tenant, 1e6, 1e6)})
+	first := f.Begin(tenant)
+	q := <-f.questions
+	f.HandleAnswer(quota.NewAnswer(q.Number(), 1000, 0, true))
+	must.True(t, wait(t, &first).Admitted())
+	must.Eq(t, 0, testing.AllocsPerRun(100, func() {
+		claim := f.Begin(tenant)
+		_, _ = claim.Wait(context.Background())
+		claim.Release()
+	}))
 }
 
 // TestOwnTenant_TakesNoMessage guards against questions to the node itself.
--- a/lib/quota/load_test.go
+++ b/lib/quota/load_test.go
@@ -61,6 +61,27 @@
 	must.LessEq(t, (1-fairShare)*float64(sent+refused), float64(refused))
 }
 
+// TestFirstConfiguration_DemandIsServedAtOnce guards against refusals at the start of a
+// day: owners have no history, and some get the configuration after others.
+func TestFirstConfiguration_DemandIsServedAtOnce(t *testing.T) {
+	for _, l := range []quota.Limit{large, small} {
+		sent, refused := 0, 0
+		for seed := range uint64(10) {
+			s := newFleet(seed, mesh)
+			s.limits = []quota.Limit{l}
+			for _, n := range s.nodes {
+				s.after(s.between(0, 2*time.Second), func() { n.configure(s.limits) })
+			}
+			s.load(l.Tenant(), l.Rate()*usualShare, 0, 4*time.Second, skewed)
+			s.run(5 * time.Second)
+			sent += len(s.sent[l.Tenant()])
+			refused += len(s.refused[l.Tenant()])
+		}
+		t.Logf("%s: sent %d, refused %d", l.Tenant(), sent, refused)
+		must.LessEq(t, (1-fairShare)*float64(sent+refused), float64(refused))
+	}
+}
+
 // TestThirdOfTheNodesCutOffDuringAFlood_StaysWithinTheBound guards against fallbacks that
 // grant in addition to what the owner grants to the rest.
 func TestThirdOfTheNodesCutOffDuringAFlood_StaysWithinTheBound(t *testing.T) {
--- a/lib/quota/message.go
+++ b/lib/quota/message.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Question asks the owner of a tenant for credits.
 type Question struct {
@@ -9,6 +12,8 @@
 	needed int
 	wanted int
 	moved  bool
+	rate   float64
+	burst  float64
 }
 
 // NewQuestion returns a question. needed is the number of requests that wait, wanted the
@@ -18,6 +23,22 @@
 	return Question{number: number, tenant: tenant, needed: needed, wanted: wanted, moved: moved}
 }
 
+// WithLimit returns the question with the limit of the tenant that the asking node knows. An
+// owner that does not know the tenant yet, since its configuration is older, goes by it.
+func (q Question) WithLimit(rate, burst float64) Question {
+	q.rate, q.burst = rate, burst
+	return q
+}
+
+// Limit returns the limit of the tenant that the asking node knows, 0 for none.
+func (q Question) Limit() (rate, burst float64) { return q.rate, q.burst }
+
+// limit returns the limit as one, or false if it is none.
+func (q Question) limit() (Limit, bool) {
+	valid := q.rate > 0 && q.burst >= 0 && !math.IsInf(q.rate, 1) && !math.IsInf(q.burst, 1)
+	return NewLimit(q.tenant, q.rate, q.burst), valid
+}
+
 // Number returns the number that the answer repeats.
 func (q Question) Number() uint64 { return q.number }
 
--- a/lib/quota/node.go
+++ b/lib/quota/node.go
@@ -172,7 +172,7 @@
 		return
 	}
 	n.lastNumber++
-	q := Question{number: n.lastNumber, tenant: tenant, needed: max(len(w.waiting), 1), moved: w.movedFrom(now, owner)}
+	q := Question{number: n.lastNumber, tenant: tenant, needed: max(len(w.waiting), 1), moved: w.movedFrom(now, owner), rate: w.limit.rate, burst: w.limit.burst}
 	q.wanted = w.wanted(now, q.needed)
 	if owner == n.view.self {
 		q.wanted = q.needed
--- a/lib/quota/owner.go
+++ b/lib/quota/owner.go
@@ -16,13 +16,14 @@
 	bounds       Bounds
 	limits       map[string]Limit
 	buckets      map[string]*ownedBucket
-	configuredAt time.Time // the first configuration
+	configuredAt time.Time // the first configuration, or the first question if it came before
 }
 
 // ownedBucket is the bucket of a tenant. started is the part of the start tokens that it
 // was given.
 type ownedBucket struct {
 	bucket  Bucket
+	limit   Limit
 	share   float64
 	started float64
 	isYoung bool
@@ -52,7 +53,7 @@
 // size sets the rate and the capacity of a bucket for a share of the members.
 func (o *Owner) size(now time.Time, b *ownedBucket, l Limit, share float64) {
 	b.bucket.Reconfigure(now, share*l.rate, max(share*o.bounds.Capacity(l), 1))
-	b.share = share
+	b.limit, b.share = l, share
 }
 
 // SetView drops the buckets of tenants that this node no longer owns, and adapts the
@@ -63,7 +64,7 @@
 			delete(o.buckets, tenant)
 			continue
 		}
-		l, grown := o.limits[tenant], v.Share()-b.share
+		l, grown := b.limit, v.Share()-b.share
 		o.size(now, b, l, v.Share())
 		if b.isYoung && grown > 0 && now.Sub(o.configuredAt) < startAge {
 			added := grown * o.bounds.Start(l)
@@ -76,9 +77,15 @@
 // Answer answers a question.
 func (o *Owner) Answer(now time.Time, v *View, q Question) Answer {
 	l, ok := o.limits[q.tenant]
+	if !ok {
+		l, ok = q.limit()
+	}
 	if !ok || v.isAlone() || v.Owner(q.tenant) != v.self {
 		return NewAnswer(q.number, 0, 0, false)
 	}
+	if o.configuredAt.IsZero() {
+		o.configuredAt = now
+	}
 	b, ok := o.buckets[q.tenant]
 	if !ok {
 		b = o.newBucket(now, v, l)
@@ -99,7 +106,7 @@
 // newBucket returns the bucket of a tenant that is asked for the first time. It holds
 // what it gained while nobody asked.
 func (o *Owner) newBucket(now time.Time, v *View, l Limit) *ownedBucket {
-	b := &ownedBucket{share: v.Share(), isYoung: now.Sub(o.configuredAt) < startAge}
+	b := &ownedBucket{limit: l, share: v.Share(), isYoung: now.Sub(o.configuredAt) < startAge}
 	since, tokens := v.changedAt, takeoverTokens
 	if o.configuredAt.After(since) {
 		since = o.configuredAt
--- a/lib/quota/sim_test.go
+++ b/lib/quota/sim_test.go
@@ -265,7 +265,11 @@
 		}))
 		return
 	}
-	s.after(s.between(time.Millisecond, 10*time.Millisecond), n.inEra(func() { s.sent[tenant] = append(s.sent[tenant], s.now) }))
+	wait := s.between(time.Millisecond, 10*time.Millisecond)
+	if s.rand.Float64() < 0.1 {
+		wait = s.between(0, 300*time.Millisecond) // in the queue of a server
+	}
+	s.after(wait, n.inEra(func() { s.sent[tenant] = append(s.sent[tenant], s.now) }))
 }
 
 // load sends requests of a tenant at random times for a while, perSecond over all nodes
