--- a/lib/routeconfig/tenant.go
+++ b/lib/routeconfig/tenant.go
@@ -69,6 +69,19 @@
 	return c.meanRate
 }
 
+// Tenants returns the tenants that have an API key, in no particular order.
+func (c *Config) Tenants() []*Tenant {
+	seen := make(map[*Tenant]bool, len(c.tenants))
+	list := make([]*Tenant, 0, len(c.tenants))
+	for _, t := range c.tenants {
+		if !seen[t] {
+			seen[t] = true
+			list = append(list, t)
+		}
+	}
+	return list
+}
+
 // HasTenants reports whether requests need an API key, unless their route is anonymous.
 func (c *Config) HasTenants() bool { return c.hasTenants }
 
--- a/savorygap-node/internal/settings/settings.go
+++ b/savorygap-node/internal/settings/settings.go
@@ -34,6 +34,7 @@
 	Drain           fileDrain  `yaml:"drain"`
 	// Sections that are missing turn off what they set.
 	DataCentres fileDataCentres `yaml:"dataCentres"`
+	Quota       *fileQuota      `yaml:"quota,omitempty"`
 }
 
 type fileListen struct {
