savorygap-node: command check-config

Cause: operators learnt of a faulty configuration only from the log of nodes that had refused it, and not at all of entries that can never match.

A retry that is refused for a removed key keeps the reason of the attempt before.

--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -209,7 +209,7 @@
 // spendRetry takes a retry from the budget. It reports false if the budget
 // allows none, the request is held, or its API key is no longer valid.
 func (p *pendingCall) spendRetry(ctx context.Context) bool {
-	if p.isHeld() || !p.mayStillBeSent() {
+	if p.isHeld() || p.keyState() != keyValid {
 		return false
 	}
 	m := &retryMessage{service: p.plan.service, reply: task.NewReply[bool]()}
--- a/savorygap-node/cmd/root.go
+++ b/savorygap-node/cmd/root.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -26,10 +27,15 @@
 		Usage:          "load balancer node for a host of a platform with a metadata store",
 		Writer:         stdout,
 		ErrWriter:      stderr,
-		Commands:       []*cli.Command{runCommand(stdout), checkCommand(stdout)},
+		Commands:       []*cli.Command{runCommand(stdout), checkCommand(stdout), checkConfigCommand(stdout, stderr)},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
-	if err := app.Run(context.Background(), args); err != nil {
+	err := app.Run(context.Background(), args)
+	var exit *exitCodeError
+	if errors.As(err, &exit) {
+		return exit.code
+	}
+	if err != nil {
 		fmt.Fprintf(stderr, "savorygap-node: %v\n", err)
 		return exitFailed
 	}
