downstream: fewer runs are started while a service that they call is short of room

Cause: nested calls go before all requests of a service. Runs of a less urgent route of another service took the slots of a scarce one by their calls, and the scarce service's own callers were refused.

Change: with the setting admission.downstream, the limiter counts which requests found a slot in time, replies to nested calls carry that pressure, and the node beside the calling server gives each route an allowance between 0.1 and 1. A nested call has the priority of the run that makes it. Requests above the allowance are refused at once, which ends their search. Slot requests carry the key of their route.

Measured: go test -race of lib/{downstream,limiter,locality,dispatch, serverproxy,upstream,link}, platform, savorygap-node/internal/{settings, pipeline}: pass.

--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -81,6 +81,10 @@
 	retryAfter   time.Duration
 	budgetDenied bool
 	hedgeCause   hedgeCause
+	// priority is that of the route, or of the run that makes this call, whose route is
+	// callerRoute.
+	priority    int
+	callerRoute string
 	// failedResponse is the error response of an earlier attempt, and
 	// uncertainReason the reason why the outcome of an earlier attempt is
 	// unknown. The call ends with them if no further slot is found.
@@ -129,6 +133,8 @@
 	}
 	p.fire(eventMatch)
 	route := p.plan.route
+	p.priority = route.Priority()
+	p.findCallingRun(ctx)
 	p.deadline = p.call.received.Add(p.call.timeLeft)
 	if route.Timeout() > 0 && route.Timeout() < p.call.timeLeft {
 		p.deadline = p.call.received.Add(route.Timeout())
--- a/lib/dispatch/reserve.go
+++ b/lib/dispatch/reserve.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"savorygap.example/lib/downstream"
 	"savorygap.example/lib/upstream"
 )
 
@@ -60,6 +61,9 @@
 	final        bool // a server has said that no other is worth asking
 	startedAt    time.Time
 	report       searchReport
+	// pressureSum is the sum of the pressures that servers replied with.
+	pressureSum     float64
+	pressureReplies int
 }
 
 // findSlot reserves a slot at the cheapest candidate, and queues if none is
@@ -74,6 +78,9 @@
 		if o, ok := p.searchSlot(ctx, candidates, p.slotRequest(maxWait).WithMaxSlowness(maxSlowness)); ok {
 			return o, true
 		}
+		if p.reason == downstream.Reason {
+			return offer{}, false
+		}
 	}
 	return p.searchSlot(ctx, candidates, p.slotRequest(p.maxWait(p.router.clock.Now())))
 }
@@ -90,6 +97,7 @@
 	best, ok := s.run(ctx, candidates, request)
 	p.searchTime += p.router.clock.Since(started)
 	p.serversAsked += s.serversAsked
+	p.reportPressure(s)
 	if !ok {
 		p.reason, p.retryAfter = s.reason, s.retryAfter
 	}
@@ -123,8 +131,8 @@
 // slotRequest returns the slot request of the call with the given time to
 // queue.
 func (p *pendingCall) slotRequest(maxWait time.Duration) upstream.SlotRequest {
-	return upstream.NewSlotRequest(p.plan.service, p.plan.route.Priority()).WithNested(p.call.nested).WithMaxWait(maxWait).
-		WithRequestID(p.call.request.ID()).WithSlowdownNotice(p.mayHedge()).
+	return upstream.NewSlotRequest(p.plan.service, p.priority).WithNested(p.call.nested).WithMaxWait(maxWait).
+		WithRequestID(p.call.request.ID()).WithRoute(routeKey(p.plan.route)).WithSlowdownNotice(p.mayHedge()).
 		WithTimes(p.deadline.Sub(p.router.clock.Now()), p.expectedLatency())
 }
 
@@ -170,7 +178,7 @@
 			replyTimer.Reset(replyTimeout)
 		}
 		switch {
-		case len(s.pending) == 0:
+		case s.final, len(s.pending) == 0:
 			return offer{}, false
 		case len(s.offers) > 0 && len(s.replied) >= len(s.pending):
 			return s.cheapest(), true
@@ -213,6 +221,7 @@
 		return
 	}
 	if !s.replied[e.Number()] {
+		s.pressureSum, s.pressureReplies = s.pressureSum+e.Pressure(), s.pressureReplies+1
 		s.observeReply(c, e)
 	}
 	s.replied[e.Number()] = true
@@ -227,6 +236,7 @@
 		delete(s.pending, e.Number())
 		delete(s.replied, e.Number())
 		s.reason, s.retryAfter = e.Reason(), max(s.retryAfter, e.RetryAfter())
+		s.final = s.final || isFinalRefusal(e)
 		s.dropOffer(e.Number())
 	}
 }
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -70,6 +70,9 @@
 	retryLimits RetryLimits
 	// farRoundTrip is the round-trip time above which a data centre is far, 0 for none.
 	farRoundTrip time.Duration
+	// See WithDownstream; nil without downstream admission.
+	callingRun     func(ctx context.Context, id, service string) (route string, priority int, ok bool)
+	reportPressure func(route, service string, pressure float64)
 }
 
 // NewConfig returns the settings of the router on a node next to a server of
--- a/lib/limiter/limiter.go
+++ b/lib/limiter/limiter.go
@@ -83,6 +83,8 @@
 	externalRequests int
 	failureRate      float64
 	failureRateAt    time.Time
+	latestAt         time.Time                  // of the latest call of Reserve or Advance
+	outcomes         map[requestClass]*outcomes // nil unless tracked
 }
 
 // New returns a limiter for a server with the given number of slots.
@@ -116,16 +118,6 @@
 // normal one.
 func (l *Limiter) Slowness() float64 { return l.slowness }
 
-// ReportLoad records a load report of the server: how many requests it is
-// running, and its slowness, 0 if it did not report one. Requests beyond those
-// that started here, less reportSlack, take up slots until the next report.
-func (l *Limiter) ReportLoad(inFlight int, slowness float64) {
-	if slowness > 0 {
-		l.slowness = slowness
-	}
-	l.externalRequests = max(0, inFlight-l.startedCount()-reportSlack)
-}
-
 // startedCount returns the number of requests that were sent to the server and
 // have not ended.
 func (l *Limiter) startedCount() int {
@@ -138,35 +130,6 @@
 	return n
 }
 
-// RecordResult records whether the server failed a request.
-func (l *Limiter) RecordResult(now time.Time, failed bool) {
-	rate := l.currentFailureRate(now)
-	sample := 0.0
-	if failed {
-		sample = 1
-	}
-	l.failureRate = rate + (sample-rate)*failureWeight
-	l.failureRateAt = now
-}
-
-// currentFailureRate returns the failure rate after its decay since the last
-// result.
-func (l *Limiter) currentFailureRate(now time.Time) float64 {
-	if l.failureRate == 0 {
-		return 0
-	}
-	halfLives := now.Sub(l.failureRateAt).Seconds() / failureHalfLife.Seconds()
-	return l.failureRate * math.Exp2(-halfLives)
-}
-
-// Cost returns the expected slowness of one more request, taking the server's
-// load, recent failures and rate limit into account.
-func (l *Limiter) Cost(now time.Time) float64 {
-	load := 1 + loadWeight*float64(len(l.reservations)+l.externalRequests)/float64(l.ordinarySlots())
-	failure := 1 + failurePenalty*math.Max(0, l.currentFailureRate(now)-failureWeight/2)
-	return l.slowness*load*failure + rateWaitCost*l.RateWait(now).Seconds()
-}
-
 // ordinarySlots returns the number of slots open to requests that are not
 // nested.
 func (l *Limiter) ordinarySlots() int { return max(1, int(ordinaryShare*float64(l.slots))) }
@@ -174,10 +137,13 @@
 // Reserve reserves a slot for the request, queues it if it may wait, or denies
 // it.
 func (l *Limiter) Reserve(now time.Time, key Key, r Request) Decision {
+	l.latestAt = now
 	if l.canReserve(now, r) && !l.outranked(now, r) {
+		l.countFound(now, r)
 		return l.grant(now, key)
 	}
 	if r.maxWait <= 0 || l.isTooLate(now, now.Add(r.maxWait)) {
+		l.countDenied(now, r)
 		return Decision{key: key, status: Denied}
 	}
 	l.enqueue(queuedRequest{key: key, request: r, expires: now.Add(r.maxWait)})
@@ -295,6 +261,7 @@
 	}
 	for i, q := range l.queue {
 		if q.key == key {
+			l.countFound(l.latestAt, q.request)
 			l.queue = append(l.queue[:i], l.queue[i+1:]...)
 			return
 		}
@@ -304,6 +271,7 @@
 // Advance expires offers and queued requests that are due at now and grants
 // free slots to queued requests. It returns the resulting decisions.
 func (l *Limiter) Advance(now time.Time) []Decision {
+	l.latestAt = now
 	var decisions []Decision
 	for key, rv := range l.reservations {
 		if !rv.started && !now.Before(rv.expires) {
@@ -315,8 +283,10 @@
 	for _, q := range l.queue {
 		switch {
 		case !now.Before(q.expires) || l.isTooLate(now, q.expires):
+			l.countDenied(now, q.request)
 			decisions = append(decisions, Decision{key: q.key, status: Denied})
 		case l.canReserve(now, q.request):
+			l.countFound(now, q.request)
 			decisions = append(decisions, l.grant(now, q.key))
 		default:
 			kept = append(kept, q)
--- a/lib/serverproxy/messages.go
+++ b/lib/serverproxy/messages.go
@@ -24,6 +24,8 @@
 	checkResult *healthResult
 	stop        *upstream.Shutdown
 	drain       bool
+	runQuery    *runQuery
+	pressure    *pressureReport
 	dump        task.Reply[Dump]
 }
 
@@ -129,6 +131,10 @@
 		p.handleHealthResult(m.checkResult)
 	case m.stop != nil:
 		p.handleStop(*m.stop)
+	case m.runQuery != nil:
+		p.handleRunQuery(m.runQuery)
+	case m.pressure != nil:
+		p.handlePressure(m.pressure)
 	case m.drain:
 		p.fireIfAccepted(eventDrain)
 	case m.dump != nil:
@@ -150,6 +156,8 @@
 		m.announce.reply.Abandon()
 	case m.leave != nil:
 		m.leave.reply.Abandon()
+	case m.runQuery != nil:
+		m.runQuery.reply.Abandon()
 	}
 	m.dump.Abandon()
 }
--- a/lib/serverproxy/proxy.go
+++ b/lib/serverproxy/proxy.go
@@ -52,6 +52,7 @@
 	names      headernames.Set
 	dial       func(ctx context.Context, address string) (*httpclient.Conn, error)
 	heldFor    func(r *upstream.Request) time.Duration
+	extends    func(id, of string) bool // nil without downstream admission
 }
 
 // NewConfig returns the settings of the proxy on node for the server of service
@@ -114,6 +115,7 @@
 	lifecycle   *chart.Machine
 	dataCentre  *chart.Machine
 	slotLimiter *limiter.Limiter
+	starts      *startLimits
 	latest      Announcement
 	instance    string
 	// announced is whether the instance has announced itself to this node, as
@@ -149,6 +151,7 @@
 	served        func(service string, outcome string, took time.Duration)
 	healthChecked func()
 	dialled       func()
+	allowance     func(route string, share float64)
 }
 
 // NewObserver returns an observer. served is called for each finished request,
@@ -185,10 +188,11 @@
 func New(config Config, charts *chart.Set, clock clockwork.Clock, log *eventlog.Log, observer Observer, hooks Hooks) (*Proxy, error) {
 	p := &Proxy{
 		config: config, clock: clock, log: log, inbox: task.NewInbox[message](inboxSize),
-		slotLimiter: limiter.New(1), requests: map[limiter.Key]pendingRequest{}, forwarded: map[limiter.Key]*forwardedRequest{}, departures: map[string]int64{},
+		starts: newStartLimits(config), requests: map[limiter.Key]pendingRequest{}, forwarded: map[limiter.Key]*forwardedRequest{}, departures: map[string]int64{},
 		hooks: hooks, observer: observer,
 		published: ServerState{service: config.service},
 	}
+	p.slotLimiter = p.newLimiter(1)
 	p.latest.service = config.service
 	p.latest.address = config.address
 	return p, p.startCharts(charts)
@@ -226,7 +230,7 @@
 // reset discards the state of the previous instance.
 func (p *Proxy) reset() {
 	p.denyPending()
-	p.slotLimiter = limiter.New(p.maxConcurrent())
+	p.slotLimiter = p.newLimiter(p.maxConcurrent())
 	p.generation++
 	p.leaving = false
 	p.stated.set(p.clock.Now(), 0, false)
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -59,6 +59,9 @@
 		m.reply(upstream.NewEvent(upstream.Refused, m.key.Number()).WithReason(reasonStopping).WithRetryAfter(p.retryAfter()))
 		return
 	}
+	if p.refusesStart(now, m) {
+		return
+	}
 	p.health.recordRequest(now)
 	p.requests[m.key] = pending
 	p.reportDecision(p.slotLimiter.Reserve(now, m.key, limiter.NewRequest(m.request.Priority(), m.request.IsNested(), m.request.MaxWait()).WithMaxSlowness(m.request.MaxSlowness())))
@@ -80,16 +83,16 @@
 	number := d.Key().Number()
 	switch d.Status() {
 	case limiter.Granted:
-		pending.reply(upstream.NewEvent(upstream.Offered, number).WithCost(d.Cost()))
+		pending.reply(p.withPressure(upstream.NewEvent(upstream.Offered, number).WithCost(d.Cost()), pending.request))
 	case limiter.Queued:
-		pending.reply(upstream.NewEvent(upstream.Queued, number).WithCost(p.slotLimiter.Cost(p.clock.Now())))
+		pending.reply(p.withPressure(upstream.NewEvent(upstream.Queued, number).WithCost(p.slotLimiter.Cost(p.clock.Now())), pending.request))
 	case limiter.Denied:
 		delete(p.requests, d.Key())
 		reason := "no place"
 		if !p.admits() {
 			reason = p.unavailableReason()
 		}
-		pending.reply(upstream.NewEvent(upstream.Refused, number).WithReason(reason).WithRetryAfter(p.retryAfter()))
+		pending.reply(p.withPressure(upstream.NewEvent(upstream.Refused, number).WithReason(reason).WithRetryAfter(p.retryAfter()), pending.request))
 	}
 }
 
@@ -135,6 +138,7 @@
 	p.inFlight.Add(1)
 	p.forwarded[m.key] = &forwardedRequest{request: m.request, cancel: cancel, started: now, slownessAtStart: p.slotLimiter.Slowness(), generation: p.generation}
 	p.stated.requests++
+	p.countRun(now, pending.request)
 	conn := p.takeIdleConn(now, m.request)
 	if conn == nil {
 		p.evictIdleConn()
--- a/savorygap-node/internal/metrics/metrics.go
+++ b/savorygap-node/internal/metrics/metrics.go
@@ -24,6 +24,7 @@
 	serverRequests    *prometheus.CounterVec
 	serverSeconds     *prometheus.HistogramVec
 	searches          *prometheus.CounterVec
+	allowances        *prometheus.GaugeVec
 	retries           *prometheus.CounterVec
 	storeCalls        *prometheus.CounterVec
 	storeSeconds      *prometheus.HistogramVec
@@ -42,13 +43,14 @@
 		serverRequests:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_server_requests_total", Help: "Requests sent to the server on this host by outcome."}, []string{"service", "outcome"}),
 		serverSeconds:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "savorygap_server_seconds", Help: "Time that the server on this host took.", Buckets: latencyBuckets}, []string{"outcome"}),
 		searches:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_searches_total", Help: "Searches for a slot by service and by whether servers in far data centres were asked."}, []string{"service", "scope"}),
+		allowances:        prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "savorygap_start_allowance", Help: "Share of a route's requests that the server on this host is given, while a service that they call is short of room."}, []string{"route"}),
 		retries:           prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_retries_total", Help: "Further attempts by service."}, []string{"service"}),
 		storeCalls:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_store_calls_total", Help: "Calls to the platform's store by kind and status, 0 for no answer."}, []string{"call", "status"}),
 		storeSeconds:      prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "savorygap_store_seconds", Help: "Time that calls to the store took.", Buckets: latencyBuckets}, []string{"call"}),
 		healthChecks:      prometheus.NewCounter(prometheus.CounterOpts{Name: "savorygap_health_checks_total", Help: "Health checks sent to the server on this host."}),
 		serverConnections: prometheus.NewCounter(prometheus.CounterOpts{Name: "savorygap_server_connections_total", Help: "Connections opened to the server on this host."}),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.serverRequests, m.serverSeconds, m.searches, m.retries, m.storeCalls, m.storeSeconds, m.healthChecks, m.serverConnections)
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.serverRequests, m.serverSeconds, m.searches, m.allowances, m.retries, m.storeCalls, m.storeSeconds, m.healthChecks, m.serverConnections)
 	return m
 }
 
@@ -75,6 +77,11 @@
 	m.searches.WithLabelValues(service, scope).Inc()
 }
 
+// SetAllowance sets the share of a route's requests that are started.
+func (m *Metrics) SetAllowance(route string, share float64) {
+	m.allowances.WithLabelValues(route).Set(share)
+}
+
 // CountRetry counts a retry of a request to the service.
 func (m *Metrics) CountRetry(service string) { m.retries.WithLabelValues(service).Inc() }
 
--- a/savorygap-node/internal/routing/routing.go
+++ b/savorygap-node/internal/routing/routing.go
@@ -2,6 +2,7 @@
 package routing
 
 import (
+	"context"
 	"time"
 
 	"savorygap.example/lib/dispatch"
@@ -33,6 +34,17 @@
 		p.Fleet().SendSuspicions([]quarantine.Record{r})
 	}).WithSearched(p.Metrics().CountSearch)
 	config := dispatch.NewConfig(t.Host(), t.Service(), t.DataCentre(), limits).WithFarRoundTrip(t.FarRoundTrip())
+	if t.DownstreamAdmission() {
+		// The step servers sets the proxy before any request arrives.
+		config = config.WithDownstream(
+			func(ctx context.Context, id, service string) (string, int, bool) {
+				return p.ServerProxy().CallingRun(ctx, id, service)
+			},
+			func(route, service string, pressure float64) {
+				p.ServerProxy().ReportPressure(route, service, pressure)
+			},
+		)
+	}
 	router, err := dispatch.NewRouter(config, p.Charts(), p.Clock(), p.Log(), observer)
 	if err != nil {
 		return err
--- a/savorygap-node/internal/servers/servers.go
+++ b/savorygap-node/internal/servers/servers.go
@@ -35,7 +35,11 @@
 func Run(p *process.Process) error {
 	t := p.Settings()
 	config := serverproxy.NewConfig(t.Host(), t.Service(), t.Server(), t.DataCentre(), platform.HeaderNames(), p.ResponseMemory()).WithQuarantine(p.Router().HeldFor)
-	observer := serverproxy.NewObserver(p.Metrics().ObserveServerRequest, p.Metrics().CountHealthCheck, p.Metrics().CountServerConnection)
+	if t.DownstreamAdmission() {
+		config = config.WithDownstream(platform.ExtendsAttempt)
+	}
+	observer := serverproxy.NewObserver(p.Metrics().ObserveServerRequest, p.Metrics().CountHealthCheck, p.Metrics().CountServerConnection).
+		WithAllowance(p.Metrics().SetAllowance)
 	var endpoint *upstream.Endpoint
 	onStateChange := func(s serverproxy.ServerState) {
 		p.Router().SetLocalServer(s.Service(), s.Accepting(), endpoint)
--- a/savorygap-node/internal/settings/settings.go
+++ b/savorygap-node/internal/settings/settings.go
@@ -34,6 +34,7 @@
 	Drain           fileDrain  `yaml:"drain"`
 	// Sections that are missing turn off what they set.
 	DataCentres fileDataCentres `yaml:"dataCentres"`
+	Admission   fileAdmission   `yaml:"admission"`
 }
 
 type fileListen struct {
@@ -63,6 +64,10 @@
 	FarRoundTrip time.Duration `yaml:"farRoundTrip"`
 }
 
+type fileAdmission struct {
+	Downstream bool `yaml:"downstream"`
+}
+
 // Tree holds the settings of a node.
 type Tree struct {
 	file file
@@ -224,3 +229,7 @@
 
 // FarRoundTrip returns the round-trip time above which a data centre is far, 0 if none is.
 func (t *Tree) FarRoundTrip() time.Duration { return t.file.DataCentres.FarRoundTrip }
+
+// DownstreamAdmission reports whether runs are limited while a service that they call is
+// short of room.
+func (t *Tree) DownstreamAdmission() bool { return t.file.Admission.Downstream }
--- a/savorygap-node/internal/settings/settings_test.go
+++ b/savorygap-node/internal/settings/settings_test.go
@@ -46,13 +46,15 @@
 	must.Eq(t, "ip", missing.Setting())
 }
 
-func TestRead_DistanceIsOffUnlessSet(t *testing.T) {
+func TestRead_SectionsAreOffUnlessSet(t *testing.T) {
 	tree, err := read(t, complete)
 	must.NoError(t, err)
 	must.Eq(t, 0, tree.FarRoundTrip())
-	tree, err = read(t, complete+"dataCentres: {farRoundTrip: 5ms}\n")
+	must.False(t, tree.DownstreamAdmission())
+	tree, err = read(t, complete+"dataCentres: {farRoundTrip: 5ms}\nadmission: {downstream: true}\n")
 	must.NoError(t, err)
 	must.Eq(t, 5*time.Millisecond, tree.FarRoundTrip())
+	must.True(t, tree.DownstreamAdmission())
 }
 
 func FuzzRead(f *testing.F) {
