dispatch: far servers whose replies were not awaited are not suspected

Cause: a search in which a slot came free here 1 ms after far servers were asked ended before they could reply, and marked them as suspected for 300 ms. The next search here that was refused then found none of them.

Change: a far server counts as late only after its round trip and the window for offers have passed.

--- a/lib/dispatch/distance_test.go
+++ b/lib/dispatch/distance_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -174,3 +175,40 @@
 	must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/order/1", "id")).Status())
 	must.Eq(t, before+1, len(other.submitted))
 }
+
+// TestServe_FarServersThatWereNotAwaited_AreAskedAgain has a server here offer a slot from
+// its queue before the far ones can have replied, and refuse the next request. It guards
+// against far servers that are suspected because nobody waited for their replies.
+func TestServe_FarServersThatWereNotAwaited_AreAskedAgain(t *testing.T) {
+	here, far := sites()
+	here, far = here[:1], far[:4]
+	var refuse atomic.Bool
+	usual := here[0].endpoint
+	var queueing *upstream.Endpoint
+	queueing = upstream.NewEndpoint("here-0", func(number uint64, r upstream.SlotRequest, events chan<- upstream.Event) {
+		switch {
+		case len(here[0].submitted) < 40: // the requests of newDistantRouter
+			usual.Reserve(number, r, events)
+		case refuse.Load():
+			events <- upstream.NewEvent(upstream.Refused, number).WithEndpoint(queueing)
+		default:
+			events <- upstream.NewEvent(upstream.Queued, number).WithEndpoint(queueing)
+			time.AfterFunc(time.Millisecond, func() { events <- upstream.NewEvent(upstream.Offered, number).WithEndpoint(queueing).WithCost(1) })
+			here[0].pending <- events
+		}
+	}, usual.Withdraw, func(number uint64, r *upstream.Request) {
+		if len(here[0].pending) == 0 {
+			usual.Submit(number, r)
+			return
+		}
+		(<-here[0].pending) <- respondWith(http.StatusOK)(number).WithEndpoint(queueing)
+	}, usual.Cancel)
+	here[0].endpoint = queueing
+	r := newDistantRouter(t, here, far)
+	for len(here[0].submitted) < 40 {
+		must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/order/1", "more")).Status())
+	}
+	must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/order/1", "queued")).Status())
+	refuse.Store(true)
+	must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/order/1", "refused")).Status())
+}
--- a/lib/dispatch/overflow.go
+++ b/lib/dispatch/overflow.go
@@ -64,6 +64,12 @@
 	return wait
 }
 
+// isLate reports whether a server that has not replied should have done so. The search may
+// end before a far one can have, when a slot is found here.
+func (s *slotSearch) isLate(c candidate) bool {
+	return !c.far || s.router.clock.Since(c.askedAt) >= c.roundTrip+offerWindow
+}
+
 // observeReply records what the first reply of a server says about distances.
 func (s *slotSearch) observeReply(c candidate, e upstream.Event) {
 	if s.router.config.farRoundTrip <= 0 {
--- a/lib/dispatch/reserve.go
+++ b/lib/dispatch/reserve.go
@@ -265,7 +265,7 @@
 // reportUnresponsive tells the router which servers did not reply in time.
 func (s *slotSearch) reportUnresponsive() {
 	for number, c := range s.pending {
-		if !s.replied[number] {
+		if !s.replied[number] && s.isLate(c) {
 			s.router.inbox.TrySend(message{observation: &observation{service: s.service, node: c.endpoint.Node(), unresponsive: true}})
 		}
 	}
