limiter: single refusals of a rare kind are no pressure

Cause: the pressure is that of the worst served kind. Of several rare kinds one is often bad by chance, which would reduce a calling route.

Change: a kind with fewer than 10 outcomes in the last second, instead of 5, counts as having 10.

--- a/lib/limiter/pressure.go
+++ b/lib/limiter/pressure.go
@@ -7,8 +7,9 @@
 	pressureBucket  = 100 * time.Millisecond
 	pressureBuckets = 10
 	// minOutcomes is the number of outcomes below which those of a kind count as that many,
-	// so that a single refusal is not taken for a shortage.
-	minOutcomes = 5
+	// so that single refusals of a rare kind, the worst of all kinds by chance, are not taken
+	// for a shortage.
+	minOutcomes = 10
 )
 
 // requestClass is a kind of request whose outcomes are counted together.
--- a/lib/limiter/pressure_test.go
+++ b/lib/limiter/pressure_test.go
@@ -47,3 +47,14 @@
 	must.Eq(t, 20, len(l.Advance(at(1000))))
 	must.Eq(t, 0, l.Pressure(at(1000), 1))
 }
+
+// TestPressure_RareKindIsNoShortage guards against a route that is reduced because one of
+// two requests of a rare kind found no room.
+func TestPressure_RareKindIsNoShortage(t *testing.T) {
+	l := limiter.New(1)
+	l.TrackPressure()
+	startRequests(l, 0, 1)
+	l.Reserve(at(0), key(1), limiter.NewRequest(0, false, 50*time.Millisecond))
+	must.Eq(t, 1, len(l.Advance(at(50))))
+	must.Eq(t, 0.1, l.Pressure(at(50), 1))
+}
