--- a/lib/dispatch/authenticate.go
+++ b/lib/dispatch/authenticate.go
@@ -167,13 +167,16 @@
 	return p.plan.tenant.Name()
 }
 
-// priority returns the priority of the tenant, or that of the route if the tenant has
-// none; 0 is the highest.
+// priority returns the priority of the tenant, or else that of the run that makes the
+// call, or else that of the route; 0 is the highest.
 func (p *pendingCall) priority() int {
 	if p.plan.tenant != nil {
 		if priority, ok := p.plan.tenant.Priority(); ok {
 			return priority
 		}
 	}
+	if p.callerRoute != "" {
+		return p.callerPriority
+	}
 	return p.plan.route.Priority()
 }
--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -97,6 +97,10 @@
 	// isOverQuota is whether the call ends since it is above the limit of its tenant.
 	isOverQuota bool
 	claim       controller.Claim
+	// callerRoute and callerPriority are those of the run that makes this nested call, ""
+	// if it is not known.
+	callerRoute    string
+	callerPriority int
 	// failedResponse is the error response of an earlier attempt, and
 	// uncertainReason the reason why the outcome of an earlier attempt is
 	// unknown. The call ends with them if no further slot is found.
@@ -145,6 +149,7 @@
 	}
 	p.fire(eventMatch)
 	route := p.plan.route
+	p.findCallingRun(ctx)
 	p.deadline = p.call.received.Add(p.call.timeLeft)
 	if route.Timeout() > 0 && route.Timeout() < p.call.timeLeft {
 		p.deadline = p.call.received.Add(route.Timeout())
--- a/lib/limiter/shares.go
+++ b/lib/limiter/shares.go
@@ -116,6 +116,7 @@
 	kept := l.queue[:0]
 	for _, q := range l.queue {
 		if !now.Before(q.expires) || l.isTooLate(now, q.expires) {
+			l.countDenied(now, q.request)
 			decisions = append(decisions, Decision{key: q.key, status: Denied})
 			continue
 		}
@@ -129,6 +130,7 @@
 		}
 		q := l.queue[i]
 		l.queue = append(l.queue[:i], l.queue[i+1:]...)
+		l.countFound(now, q.request)
 		decisions = append(decisions, l.grant(now, q.key, q.request))
 	}
 }
--- a/savorygap-node/internal/settings/settings.go
+++ b/savorygap-node/internal/settings/settings.go
@@ -35,6 +35,7 @@
 	// Sections that are missing turn off what they set.
 	DataCentres fileDataCentres `yaml:"dataCentres"`
 	Quota       *fileQuota      `yaml:"quota,omitempty"`
+	Admission   fileAdmission   `yaml:"admission"`
 }
 
 type fileListen struct {
@@ -64,6 +65,10 @@
 	FarRoundTrip time.Duration `yaml:"farRoundTrip"`
 }
 
+type fileAdmission struct {
+	Downstream bool `yaml:"downstream"`
+}
+
 // Tree holds the settings of a node.
 type Tree struct {
 	file file
@@ -225,3 +230,7 @@
 
 // FarRoundTrip returns the round-trip time above which a data centre is far, 0 if none is.
 func (t *Tree) FarRoundTrip() time.Duration { return t.file.DataCentres.FarRoundTrip }
+
+// DownstreamAdmission reports whether runs are limited while a service that they call is
+// short of room.
+func (t *Tree) DownstreamAdmission() bool { return t.file.Admission.Downstream }
