downstream: only more urgent requests at the called service count as pressure

Change: pressure counts requests more urgent than the run that calls; two servers must refuse before a search ends; the allowance returns by 0.3 a second.

--- a/lib/dispatch/downstream.go
+++ b/lib/dispatch/downstream.go
@@ -34,6 +34,10 @@
 	}
 }
 
+// minFinalReplies is how many servers must refuse a request because a called service is
+// short of room before the search ends: a single node may see more pressure than others.
+const minFinalReplies = 2
+
 // isFinalRefusal reports whether a refusal holds at all servers of the service, so that
 // asking others would only cost messages.
 func isFinalRefusal(e upstream.Event) bool {
--- a/lib/dispatch/reserve.go
+++ b/lib/dispatch/reserve.go
@@ -58,7 +58,8 @@
 	overflow     []candidate              // far servers that were not asked yet
 	askedFar     bool
 	overflowed   bool
-	final        bool // a server has said that no other is worth asking
+	final        bool // servers agree that no other is worth asking
+	finalReplies int  // see isFinalRefusal
 	startedAt    time.Time
 	report       searchReport
 	// pressureSum is the sum of the pressures that servers replied with.
@@ -236,7 +237,10 @@
 		delete(s.pending, e.Number())
 		delete(s.replied, e.Number())
 		s.reason, s.retryAfter = e.Reason(), max(s.retryAfter, e.RetryAfter())
-		s.final = s.final || isFinalRefusal(e)
+		if isFinalRefusal(e) {
+			s.finalReplies++
+			s.final = s.finalReplies >= min(minFinalReplies, s.serversAsked)
+		}
 		s.dropOffer(e.Number())
 	}
 }
--- a/lib/downstream/downstream.go
+++ b/lib/downstream/downstream.go
@@ -32,14 +32,14 @@
 	minAllowance = 0.1
 	// minPressure is the pressure up to which nothing is reduced: callers tolerate that a
 	// less urgent kind is served more often by 5 in 100, and single refusals are noise.
-	minPressure = 0.03
+	minPressure = 0.05
 	// decreaseRate and increase are how fast the allowance moves: down by a factor of e in
 	// 1/decreaseRate seconds, up by increase a second. Pressure is counted over a second
 	// and smoothed for about another, so a faster decrease would act twice on the same
 	// pressure, and a faster increase lets the reports of many nodes get ahead. Waves of
 	// load with a period of 15 s can be followed. Figures: docs/design/downstream-admission.md.
 	decreaseRate = 0.8
-	increase     = 0.15
+	increase     = 0.3
 	// maxElapsed bounds the time that one step accounts for.
 	maxElapsed = time.Second
 	// pressureHalfLife is the time in which reported pressure loses half its weight, and
--- a/lib/limiter/pressure.go
+++ b/lib/limiter/pressure.go
@@ -33,13 +33,13 @@
 func (l *Limiter) TrackPressure() { l.outcomes = map[requestClass]*outcomes{} }
 
 // Pressure returns the share of the requests of the last second that found no slot in
-// time, from 0 to 1, among those at least as urgent as priority. Kinds are counted apart,
-// and the one that fares worst counts: a less urgent request should not be served more
-// often than any of them. It is 0 unless outcomes are tracked.
+// time, from 0 to 1, among those more urgent than priority. Kinds are counted apart, and
+// the one that fares worst counts: a less urgent request should not be served more often
+// than any of them. It is 0 unless outcomes are tracked.
 func (l *Limiter) Pressure(now time.Time, priority int) float64 {
 	highest := 0.0
 	for c, o := range l.outcomes {
-		if c.priority <= priority {
+		if c.priority < priority {
 			highest = max(highest, o.deniedShare(now))
 		}
 	}
--- a/lib/upstream/upstream.go
+++ b/lib/upstream/upstream.go
@@ -294,7 +294,7 @@
 	return e
 }
 
-// WithPressure returns the event with the share of recent requests, at least as urgent as
+// WithPressure returns the event with the share of recent requests, more urgent than
 // this one, that found no slot at the server in time, from 0 to 1.
 func (e Event) WithPressure(pressure float64) Event {
 	e.pressure = pressure
@@ -337,7 +337,7 @@
 // Cost returns the expected slowness of a request at this server.
 func (e Event) Cost() float64 { return e.cost }
 
-// Pressure returns the share of recent requests, at least as urgent as this one, that
+// Pressure returns the share of recent requests, more urgent than this one, that
 // found no slot at the server in time, from 0 to 1.
 func (e Event) Pressure() float64 { return e.pressure }
 
