--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -144,7 +144,7 @@
 	defer cancel()
 	candidates := p.plan.candidates
 	for reservations := 0; ; reservations++ {
-		offer, ok := p.findSlot(ctx, candidates)
+		offer, ok := p.findVersionSlot(ctx, candidates)
 		if !ok {
 			return p.endWithoutSlot()
 		}
@@ -178,12 +178,13 @@
 
 // untriedCandidates returns the candidates that were not tried yet.
 func (p *pendingCall) untriedCandidates(ctx context.Context) []candidate {
-	return p.candidatesExcept(ctx, p.tried)
+	p.leaveTarget(ctx)
+	return p.candidatesExcept(ctx, p.tried, p.plan.release)
 }
 
-// candidatesExcept returns the candidates except those of the excluded nodes.
-func (p *pendingCall) candidatesExcept(ctx context.Context, exclude []string) []candidate {
-	m := &candidatesMessage{service: p.plan.service, exclude: exclude, reply: task.NewReply[[]candidate]()}
+// candidatesExcept returns the candidates of a version except those of the excluded nodes.
+func (p *pendingCall) candidatesExcept(ctx context.Context, exclude []string, release string) []candidate {
+	m := &candidatesMessage{service: p.plan.service, exclude: exclude, release: release, reply: task.NewReply[[]candidate]()}
 	if !p.router.inbox.Send(message{candidates: m}) {
 		return nil
 	}
--- a/lib/dispatch/candidates.go
+++ b/lib/dispatch/candidates.go
@@ -12,12 +12,12 @@
 // candidates returns the servers to ask for a slot: all servers of a small
 // service, a sample of a large one. Suspected servers are asked only when
 // there is no other.
-func (r *Router) candidates(service string, exclude []string) []candidate {
+func (r *Router) candidates(service string, exclude []string, release string) []candidate {
 	now := r.clock.Now()
 	var usable, suspected []*server
 	for _, s := range r.servers[service] {
 		switch {
-		case !s.accepting || r.snapshot.Evacuated(s.dataCentre) || slices.Contains(exclude, s.node):
+		case !s.accepting || r.snapshot.Evacuated(s.dataCentre) || slices.Contains(exclude, s.node) || !r.hasRelease(service, s, release):
 		case now.Before(s.suspectUntil):
 			suspected = append(suspected, s)
 		default:
@@ -101,6 +101,7 @@
 			s = &server{node: p.Node()}
 		}
 		s.dataCentre, s.accepting, s.endpoint = p.DataCentre(), p.ServerState().Accepting(), p.Endpoint()
+		r.learnRelease(s, p.ServerState().Instance(), p.ServerState().Release())
 		r.servers[p.ServerState().Service()] = append(r.servers[p.ServerState().Service()], s)
 	}
 	if r.local != nil {
--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -80,7 +80,7 @@
 // a Slowed event.
 func (p *pendingCall) hedgeDelay() time.Duration {
 	mean := p.plan.meanLatency
-	if mean == 0 || !p.mayHedge() {
+	if mean == 0 || !p.mayHedge() || p.plan.canary {
 		return defaultTimeLeft
 	}
 	return max(time.Duration(hedgeLatencyFactor*float64(mean)), time.Duration(hedgeObjectiveShare*float64(p.plan.route.LatencyObjective())))
@@ -90,7 +90,7 @@
 // objective, while a new one elsewhere would meet it.
 func (p *pendingCall) missesObjective(started time.Time, slowness float64) bool {
 	objective, mean := p.plan.route.LatencyObjective(), p.plan.meanLatency
-	if objective == 0 || mean == 0 || !p.mayHedge() {
+	if objective == 0 || mean == 0 || !p.mayHedge() || p.plan.canary {
 		return false
 	}
 	now := p.router.clock.Now()
@@ -174,6 +174,7 @@
 	if cause == hedgeSilent {
 		request, maxCost = p.slotRequest(p.maxWait(p.router.clock.Now())), math.Inf(1)
 	}
+	request = p.hedgeRequest(ctx, request)
 	go p.reserveHedge(ctx, append([]string{p.node}, p.tried...), request, maxCost, found)
 	return found
 }
@@ -220,7 +221,7 @@
 func (p *pendingCall) reserveHedge(ctx context.Context, exclude []string, request upstream.SlotRequest, maxCost float64, found chan<- offer) {
 	defer close(found)
 	defer task.Catch(func(e *task.PanicError) { p.router.log.WritePanic("hedge", e) })
-	candidates := p.candidatesExcept(ctx, exclude)
+	candidates := p.candidatesExcept(ctx, exclude, request.Release())
 	if len(candidates) == 0 {
 		return
 	}
--- a/lib/dispatch/messages.go
+++ b/lib/dispatch/messages.go
@@ -23,6 +23,7 @@
 	nodeCount   *int
 	stop        *stopTimes
 	suspicions  []quarantine.Record
+	versions    *versionsMessage
 	dump        task.Reply[Dump]
 }
 
@@ -35,6 +36,8 @@
 		m.candidates.reply.Abandon()
 	case m.retry != nil:
 		m.retry.reply.Abandon()
+	case m.versions != nil:
+		m.versions.reply.Abandon()
 	}
 	m.dump.Abandon()
 }
@@ -53,6 +56,8 @@
 	version     uint64
 	meanLatency time.Duration
 	candidates  []candidate
+	release     string // of the servers to ask, "" for any
+	canary      bool   // whether it is the target of a rollout that still has another version
 }
 
 // candidate is a server to ask for a slot, with the cost factor of its
--- a/lib/dispatch/reserve.go
+++ b/lib/dispatch/reserve.go
@@ -117,7 +117,7 @@
 // slotRequest returns the slot request of the call with the given time to
 // queue.
 func (p *pendingCall) slotRequest(maxWait time.Duration) upstream.SlotRequest {
-	return upstream.NewSlotRequest(p.plan.service, p.plan.route.Priority()).WithNested(p.call.nested).WithMaxWait(maxWait).
+	return p.forVersion(upstream.NewSlotRequest(p.plan.service, p.plan.route.Priority())).WithNested(p.call.nested).WithMaxWait(maxWait).
 		WithRequestID(p.call.request.ID()).WithSlowdownNotice(p.mayHedge()).
 		WithTimes(p.deadline.Sub(p.router.clock.Now()), p.expectedLatency())
 }
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -108,6 +108,7 @@
 	meanLatencies     map[string]time.Duration
 	ledger            *quarantine.Ledger
 	held              atomic.Pointer[holds]
+	versions          versions
 	nodeCount         int
 	lastRequestNumber atomic.Uint64
 	active            atomic.Int64
@@ -123,6 +124,8 @@
 	cost          float64
 	costUpdatedAt time.Time
 	suspectUntil  time.Time
+	instance      string
+	release       string // version, "" if unknown
 }
 
 type planMessage struct {
@@ -139,6 +142,7 @@
 type candidatesMessage struct {
 	service string
 	exclude []string
+	release string
 	reply   task.Reply[[]candidate]
 }
 
@@ -224,7 +228,7 @@
 		p, err := r.planCall(m.plan.host, m.plan.path)
 		m.plan.reply <- planResult{plan: p, err: err}
 	case m.candidates != nil:
-		m.candidates.reply <- r.candidates(m.candidates.service, m.candidates.exclude)
+		m.candidates.reply <- r.candidates(m.candidates.service, m.candidates.exclude, m.candidates.release)
 	case m.retry != nil:
 		m.retry.reply <- r.spendRetry(m.retry.service)
 	case m.observation != nil:
@@ -243,6 +247,8 @@
 		r.nodeCount = *m.nodeCount
 	case m.stop != nil:
 		r.setStop(m.stop)
+	case m.versions != nil:
+		r.handleVersions(m.versions)
 	case m.suspicions != nil:
 		r.applySuspicions(m.suspicions)
 	case m.dump != nil:
@@ -288,7 +294,10 @@
 	}
 	service := r.selectors[key].next(route.Services())
 	r.budget(service).deposit(r.clock.Now(), r.config.retryLimits, r.nodeCount, 1)
-	return plan{route: route, service: service, version: r.snapshot.Version(), meanLatency: r.meanLatencies[key], candidates: r.candidates(service, nil)}, nil
+	p := plan{route: route, service: service, version: r.snapshot.Version(), meanLatency: r.meanLatencies[key]}
+	p.release, p.canary = r.chooseRelease(service)
+	p.candidates = r.candidates(service, nil, p.release)
+	return p, nil
 }
 
 // routeKey identifies a route across versions of the configuration.
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -104,6 +104,7 @@
 	removeMember func(registry.Record)
 	suspicions   func([]quarantine.Record)
 	heldRequests func() []quarantine.Record
+	rollouts     rolloutHooks
 }
 
 // NewHooks returns hooks:
@@ -122,7 +123,7 @@
 //     removed from the store.
 func NewHooks(decode func([]byte) (*routeconfig.Config, error), snapshot func(Snapshot), peers func([]Peer), nodes func(int), departures func(records []registry.Record, stored bool), register func(entry registry.Record, exists bool), watch func(peer string, started bool), entryLost func(), removeMember func(registry.Record)) Hooks {
 	return Hooks{decode: decode, snapshot: snapshot, peers: peers, nodes: nodes, departures: departures, register: register, watch: watch, entryLost: entryLost, removeMember: removeMember,
-		suspicions: func([]quarantine.Record) {}, heldRequests: func() []quarantine.Record { return nil }}
+		suspicions: func([]quarantine.Record) {}, heldRequests: func() []quarantine.Record { return nil }, rollouts: noRollouts()}
 }
 
 // WithQuarantine returns the hooks with a function that receives, from the task of a link,
@@ -355,6 +356,8 @@
 		for _, p := range f.links {
 			p.link.SendSuspicions(m.suspicions)
 		}
+	case m.rollout != nil:
+		f.broadcastRollout(*m.rollout)
 	case m.snapshot != nil:
 		f.handleSnapshot(m.snapshot)
 	case m.silence != nil:
--- a/lib/fleet/links.go
+++ b/lib/fleet/links.go
@@ -82,7 +82,7 @@
 			f.inbox.Send(message{silence: &silenceMessage{link: l, silent: silent}})
 		},
 		func(l *link.Link, err error) { f.inbox.Send(message{ended: &linkEnded{link: l, err: err}}) },
-	)
+	).WithRollouts(f.hooks.rollouts.received)
 }
 
 // handleSignal handles a signal. It is called from the task of the link.
@@ -155,6 +155,7 @@
 	if held := f.hooks.heldRequests(); len(held) > 0 {
 		p.link.SendSuspicions(held)
 	}
+	f.sendRollouts(p.link)
 	f.handleVersions(p.link, h.Versions())
 	f.schedulePeers()
 }
--- a/lib/fleet/messages.go
+++ b/lib/fleet/messages.go
@@ -6,6 +6,7 @@
 	"savorygap.example/lib/link"
 	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/registry"
+	"savorygap.example/lib/rollout"
 	"savorygap.example/lib/task"
 )
 
@@ -25,6 +26,7 @@
 	departures   []registry.Record
 	departure    *departureMessage
 	suspicions   []quarantine.Record
+	rollout      *rollout.Message
 	snapshot     *snapshotMessage
 	silence      *silenceMessage
 	ended        *linkEnded
--- a/lib/fleet/update.go
+++ b/lib/fleet/update.go
@@ -33,6 +33,7 @@
 // applyUpdate applies records read from the store: members, the configuration,
 // evacuations and departures.
 func (f *Fleet) applyUpdate(ctx context.Context, u registry.Update) {
+	f.hooks.rollouts.records(u)
 	change := snapshotChange{source: "store"}
 	if u.Full() {
 		f.members, f.removals, f.readVersion = map[string]Member{}, map[string]uint64{}, u.Version()
--- a/lib/link/codec.go
+++ b/lib/link/codec.go
@@ -48,6 +48,9 @@
 	typeSuspicions
 )
 
+// typeRollouts is explicit, since other frame types are added between.
+const typeRollouts byte = 20
+
 // FrameError reports a frame that cannot be decoded.
 type FrameError struct {
 	frameType byte
@@ -134,7 +137,7 @@
 		r := m.slotRequest.slotRequest
 		return newEncoder(typeSlotRequest, 96).varint(1, m.slotRequest.number).text(2, r.Service()).varint(3, uint64(max(r.Priority(), 0))).
 			flag(4, r.IsNested()).duration(5, r.MaxWait()).text(6, r.RequestID()).flag(7, r.WantsSlowdownNotice()).float(8, r.MaxSlowness()).
-			duration(9, r.TimeLeft()).duration(10, r.ExpectedLatency()).text(11, r.Tenant()).text(12, r.Route()).frame()
+			duration(9, r.TimeLeft()).duration(10, r.ExpectedLatency()).text(11, r.Tenant()).text(12, r.Route()).text(13, r.Release()).frame()
 	case m.event != nil:
 		return encodeEvent(*m.event)
 	case m.withdraw != nil:
@@ -163,6 +166,8 @@
 		return encodeRecords(typeDepartures, m.departures)
 	case m.suspicions != nil:
 		return encodeSuspicions(m.suspicions)
+	case m.rollout != nil:
+		return encodeRollout(*m.rollout)
 	case m.snapshot != nil:
 		return encodeSnapshot(m.snapshot)
 	}
@@ -200,7 +205,7 @@
 }
 
 func encodeServerState(e *encoder, s ServerState) *encoder {
-	return e.text(10, s.service).text(11, s.instance).flag(12, s.accepting)
+	return e.text(10, s.service).text(11, s.instance).flag(12, s.accepting).text(13, s.release)
 }
 
 func encodeEvent(v upstream.Event) []byte {
--- a/lib/link/decode.go
+++ b/lib/link/decode.go
@@ -85,7 +85,7 @@
 }
 
 func (f *fields) serverState() ServerState {
-	return ServerState{service: f.text(10), instance: f.text(11), accepting: f.numbers[12] != 0}
+	return ServerState{service: f.text(10), instance: f.text(11), accepting: f.numbers[12] != 0, release: f.text(13)}
 }
 
 // Decode decodes the message of a frame. It reports false for a frame type or a
@@ -101,7 +101,7 @@
 		return Message{hello: &Hello{node: f.text(1), address: f.text(2), dataCentre: f.text(3), versions: NewVersions(f.numbers[4], f.numbers[5]), bandwidth: math.Float64frombits(f.numbers[6]), serverState: f.serverState()}}, true, nil
 	case typeSlotRequest:
 		r := upstream.NewSlotRequest(f.text(2), f.count(3)).WithNested(f.numbers[4] != 0).WithMaxWait(f.duration(5)).WithRequestID(f.text(6)).WithSlowdownNotice(f.numbers[7] != 0).
-			WithMaxSlowness(math.Float64frombits(f.numbers[8])).WithTimes(f.duration(9), f.duration(10)).WithTenant(f.text(11)).WithRoute(f.text(12))
+			WithMaxSlowness(math.Float64frombits(f.numbers[8])).WithTimes(f.duration(9), f.duration(10)).WithTenant(f.text(11)).WithRoute(f.text(12)).WithRelease(f.text(13))
 		return Message{slotRequest: &numberedSlotRequest{number: number, slotRequest: r}}, true, nil
 	case typeEvent:
 		return decodeEvent(f)
@@ -137,6 +137,9 @@
 	case typeSuspicions:
 		records, err := decodeSuspicions(f)
 		return Message{suspicions: records}, err == nil && len(records) > 0, err
+	case typeRollouts:
+		m, err := decodeRollout(f)
+		return Message{rollout: m}, err == nil, err
 	case typeSnapshot:
 		return decodeSnapshot(f)
 	}
--- a/lib/link/exchange.go
+++ b/lib/link/exchange.go
@@ -197,6 +197,8 @@
 		l.hooks.departures(m.departures)
 	case m.suspicions != nil:
 		l.hooks.suspicions(m.suspicions)
+	case m.rollout != nil:
+		l.hooks.rollout(*m.rollout)
 	case m.snapshot != nil:
 		l.hooks.snapshot(l, *m.snapshot)
 	}
--- a/lib/link/link.go
+++ b/lib/link/link.go
@@ -14,6 +14,7 @@
 	"savorygap.example/lib/limiter"
 	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/registry"
+	"savorygap.example/lib/rollout"
 	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
 )
@@ -95,6 +96,7 @@
 	members     func(records []registry.Record)
 	departures  func(records []registry.Record)
 	suspicions  func(records []quarantine.Record)
+	rollout     func(m rollout.Message)
 	snapshot    func(l *Link, s Snapshot)
 	silence     func(l *Link, silent bool)
 	closed      func(l *Link, err error)
@@ -103,7 +105,8 @@
 // NewHooks returns hooks made of ten functions. silence reports that the peer has
 // become silent, and that it is heard again.
 func NewHooks(hello func(*Link, Hello), serverState func(*Link, ServerState), versions func(*Link, Versions), signal func(*Link, Signal), members, departures func([]registry.Record), suspicions func([]quarantine.Record), snapshot func(*Link, Snapshot), silence func(*Link, bool), closed func(*Link, error)) Hooks {
-	return Hooks{hello: hello, serverState: serverState, versions: versions, signal: signal, members: members, departures: departures, suspicions: suspicions, snapshot: snapshot, silence: silence, closed: closed}
+	return Hooks{hello: hello, serverState: serverState, versions: versions, signal: signal, members: members, departures: departures, suspicions: suspicions, snapshot: snapshot, silence: silence, closed: closed,
+		rollout: func(rollout.Message) {}}
 }
 
 // PeerTimeoutError reports that nothing was received from a peer for too long.
--- a/lib/link/message.go
+++ b/lib/link/message.go
@@ -5,6 +5,7 @@
 
 	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/registry"
+	"savorygap.example/lib/rollout"
 	"savorygap.example/lib/upstream"
 )
 
@@ -77,6 +78,7 @@
 	service   string
 	instance  string
 	accepting bool
+	release   string
 }
 
 // NewServerState returns the state of an instance of a service. accepting reports
@@ -91,6 +93,15 @@
 // Instance returns the id of the instance.
 func (s ServerState) Instance() string { return s.instance }
 
+// WithRelease returns the state with the version of the server, "" if unknown.
+func (s ServerState) WithRelease(release string) ServerState {
+	s.release = release
+	return s
+}
+
+// Release returns the version of the server, "" if unknown.
+func (s ServerState) Release() string { return s.release }
+
 // Accepting reports whether the server accepts requests.
 func (s ServerState) Accepting() bool { return s.accepting }
 
@@ -175,6 +186,7 @@
 	members      []registry.Record
 	departures   []registry.Record
 	suspicions   []quarantine.Record
+	rollout      *rollout.Message
 	snapshot     *Snapshot
 }
 
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -39,9 +39,17 @@
 	// KindDeparture is the last departure of a server on a node's host. Its name is
 	// the node.
 	KindDeparture
+	// KindRolloutOrder is the operators' order to move a service to a version. Its name is
+	// the service.
+	KindRolloutOrder
+	// KindRollout is the state of a rollout that nodes keep. Its name is the service.
+	KindRollout
+	// KindRolloutStatus is the state of a rollout as operators see it. Its name is the
+	// service. Nodes write it and do not read it.
+	KindRolloutStatus
 )
 
-var kindNames = []string{"configuration", "evacuation", "member", "departure"}
+var kindNames = []string{"configuration", "evacuation", "member", "departure", "rollout-order", "rollout", "rollout-status"}
 
 // String returns the name of the kind.
 func (k Kind) String() string { return kindNames[k] }
@@ -112,6 +120,7 @@
 	watch  func(ctx context.Context, after uint64, wait time.Duration) ([]Record, uint64, error)
 	put    func(ctx context.Context, r Record) error
 	remove func(ctx context.Context, r Record) error
+	swap   func(ctx context.Context, expected Record, writes []Record) (uint64, error)
 }
 
 // NewStore returns a store made of four functions.
--- /dev/null
+++ b/lib/rollout/control/learn.go
@@ -0,0 +1,231 @@
+package control
+
+import (
+	"maps"
+	"slices"
+
+	"savorygap.example/lib/registry"
+	"savorygap.example/lib/rollout"
+)
+
+// applyUpdate applies records read from the store, and tells the peers of what is new in
+// a watch: the next watch of a peer may be much later.
+func (c *Controller) applyUpdate(u registry.Update) {
+	listed := map[string]bool{}
+	for _, r := range u.Records() {
+		switch {
+		case r.Kind() == registry.KindRollout && !r.Removed():
+			c.applyRecord(r)
+		case r.Kind() == registry.KindMember && r.Name() != c.config.node:
+			c.othersKnown = true
+		}
+	}
+	for _, r := range u.Records() {
+		if r.Kind() == registry.KindRolloutOrder {
+			listed[r.Name()] = !r.Removed()
+			c.applyOrder(r)
+		}
+	}
+	if !u.Full() {
+		return
+	}
+	for service, e := range c.rollouts {
+		if !listed[service] && e.rollout.Order().Version() <= u.Version() {
+			c.withdraw(e)
+		}
+	}
+	c.readVersion = u.Version()
+}
+
+func (c *Controller) applyRecord(r registry.Record) {
+	record, err := c.hooks.decodeRecord(r)
+	if err != nil {
+		c.log.Write("rollout-unreadable", "service", r.Name(), "version", r.Version(), "error", err.Error())
+		return
+	}
+	if c.mergeRecord(r.Name(), record, "store") {
+		if e, ok := c.rollouts[r.Name()]; ok {
+			c.send(e, false)
+		}
+	}
+}
+
+// mergeRecord adopts a record that is newer than the known one. It reports whether it was.
+func (c *Controller) mergeRecord(service string, record rollout.Record, source string) bool {
+	if record.Version() <= c.records[service].Version() {
+		return false
+	}
+	c.records[service] = record
+	if e, ok := c.rollouts[service]; ok {
+		e.rollout.MergeRecord(c.clock.Now(), record)
+		e.due = rollout.Record{}
+		c.logStep(service, e, source)
+	}
+	return true
+}
+
+func (c *Controller) logStep(service string, e *entry, source string) {
+	r := e.rollout.Record()
+	if r.Order() != e.rollout.Order().Version() {
+		return
+	}
+	c.log.Write("rollout-step", "service", service, "target", r.Target(), "previous", r.Previous(), "phase", r.Phase().String(), "step", r.Step(), "state", e.rollout.State(),
+		"elapsed_ms", e.rollout.Elapsed(c.clock.Now()).Milliseconds(), "version", r.Version(), "order", r.Order(), "source", source)
+}
+
+func (c *Controller) applyOrder(r registry.Record) {
+	if r.Removed() {
+		if e, ok := c.rollouts[r.Name()]; ok && e.rollout.Order().Version() < r.Version() {
+			c.withdraw(e)
+		}
+		return
+	}
+	order, err := c.hooks.decodeOrder(r)
+	if err != nil {
+		c.log.Write("rollout-unreadable", "service", r.Name(), "version", r.Version(), "error", err.Error())
+		return
+	}
+	if c.adopt(order, "store") {
+		c.rollouts[r.Name()].rollout.LearnElapsed(c.clock.Now(), watchDelay)
+		c.send(c.rollouts[r.Name()], false)
+	}
+}
+
+// adopt begins to follow an order that is newer than the known one. It reports whether it
+// was.
+func (c *Controller) adopt(order rollout.Order, source string) bool {
+	if e, ok := c.rollouts[order.Service()]; ok && e.rollout.Order().Version() >= order.Version() {
+		return false
+	}
+	now := c.clock.Now()
+	r, err := rollout.New(c.charts, order, c.config.bounds, now)
+	if err != nil {
+		c.log.Write("chart-error", "error", err.Error())
+		return false
+	}
+	r.MergeRecord(now, c.records[order.Service()])
+	c.rollouts[order.Service()] = &entry{rollout: r}
+	if order.Service() == c.local.service {
+		c.tally = rollout.NewTally(c.local.node, c.local.release, c.local.instance)
+	}
+	c.log.Write("rollout-order", "service", order.Service(), "target", order.Target(), "duration_ms", order.Duration().Milliseconds(), "version", order.Version(), "source", source)
+	return true
+}
+
+func (c *Controller) withdraw(e *entry) {
+	if e.rollout.Withdraw() {
+		c.log.Write("rollout-withdrawn", "service", e.rollout.Order().Service(), "target", e.rollout.Order().Target(), "state", e.rollout.State())
+		c.send(e, false)
+	}
+}
+
+// receive applies what a peer knows of a rollout. An order that a full read of the store
+// did not list was removed before.
+func (c *Controller) receive(m rollout.Message) {
+	order := m.Order()
+	c.mergeRecord(order.Service(), m.Record(), "peer")
+	if _, known := c.rollouts[order.Service()]; !known && (order.Version() <= c.readVersion || m.Withdrawn()) {
+		return
+	}
+	c.adopt(order, "peer")
+	e := c.rollouts[order.Service()]
+	if e == nil || e.rollout.Order().Version() != order.Version() {
+		return
+	}
+	e.rollout.LearnElapsed(c.clock.Now(), m.Elapsed())
+	if m.Withdrawn() {
+		e.rollout.Withdraw()
+	}
+	if m.RolledBack() && e.rollout.RollBack() {
+		c.log.Write("rollout-verdict", "service", order.Service(), "target", order.Target(), "source", "peer")
+	}
+	if t := m.Tally(); t != nil && t.Node() != c.config.node {
+		e.rollout.MergeTally(*t)
+	}
+}
+
+// rebuildServers groups the servers by service and finds the version of each service.
+func (c *Controller) rebuildServers() {
+	c.servers = map[string][]rollout.Server{}
+	for _, p := range append(slices.Clone(c.peers), c.local) {
+		release := c.releases.Learn(p.instance, p.release)
+		c.servers[p.service] = append(c.servers[p.service], rollout.NewServer(p.node, release, p.accepting))
+	}
+	for service, servers := range c.servers {
+		if own := rollout.OwnRelease(servers, c.own[service], c.unproven(service)...); own != "" {
+			c.own[service] = own
+		}
+	}
+	if c.tally.Instance() != c.local.instance || c.tally.Release() != c.local.release {
+		c.tally = rollout.NewTally(c.local.node, c.releases.Learn(c.local.instance, c.local.release), c.local.instance)
+	}
+}
+
+// unproven returns the target version of an order that is not complete.
+func (c *Controller) unproven(service string) []string {
+	if e, ok := c.rollouts[service]; ok && !e.rollout.IsComplete() {
+		return []string{e.rollout.Order().Target()}
+	}
+	return nil
+}
+
+// recordJudgement counts a response of the server on this host.
+func (c *Controller) recordJudgement(j Judgement) {
+	e, ok := c.rollouts[c.local.service]
+	if !ok || e.rollout.IsSettled() {
+		return
+	}
+	if j.instance != c.tally.Instance() || j.release != c.tally.Release() {
+		c.tally = rollout.NewTally(c.config.node, j.release, j.instance)
+	}
+	c.tally = c.tally.Add(j.route, j.bad)
+	e.tallied = true
+}
+
+// ownOfOthers returns the version that most servers of the service state, except the one
+// on this host.
+func (c *Controller) ownOfOthers(service string) string {
+	others := slices.DeleteFunc(slices.Clone(c.servers[service]), func(s rollout.Server) bool { return s.Node() == c.config.node })
+	return rollout.OwnRelease(others, c.own[service], c.unproven(service)...)
+}
+
+// publish tells the node how requests are divided and which versions its server may have,
+// if that has changed.
+func (c *Controller) publish() {
+	policies := make(map[string]rollout.Policy, len(c.servers))
+	for service, servers := range c.servers {
+		policies[service] = rollout.NewPolicy(c.own[service])
+		if e, ok := c.rollouts[service]; ok {
+			policies[service] = e.rollout.Policy(servers, c.own[service])
+		}
+	}
+	if !maps.EqualFunc(policies, c.policies, rollout.Policy.Equal) {
+		c.policies = policies
+		c.hooks.policies(policies)
+	}
+	if a := c.nextAdmission(); !a.Equal(c.admission) {
+		c.admission = a
+		c.hooks.admission(a)
+	}
+	c.publishCurrent()
+}
+
+// nextAdmission returns which versions the server on this host may have. Until the store
+// was read or a peer is linked, it is not known whether an order names its version.
+func (c *Controller) nextAdmission() rollout.Admission {
+	service, now := c.local.service, c.clock.Now()
+	own := c.ownOfOthers(service)
+	if e, ok := c.rollouts[service]; ok {
+		if own == "" && c.local.release != e.rollout.Order().Target() {
+			own = c.local.release
+		}
+		return rollout.NewAdmission(e.rollout.IsUnderWay(), e.rollout.Admitted(now, own)...)
+	}
+	switch {
+	case own != "":
+		return rollout.NewAdmission(false, own)
+	case c.readVersion == 0 && len(c.peers) == 0, c.othersKnown && now.Sub(c.startedAt) < settlingTime:
+		return rollout.Admission{}
+	}
+	return rollout.AdmitAny()
+}
--- /dev/null
+++ b/lib/rollout/rollout_test.go
@@ -0,0 +1,247 @@
+package rollout_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"savorygap.example/lib/rollout"
+)
+
+// seeds is how many random loads each rollout is played with.
+const seeds = 40
+
+// TestPlay_GoodVersionCompletesBeforeDeadline guards against a good version that misses its
+// deadline: the store must have acknowledged its completion by then.
+func TestPlay_GoodVersionCompletesBeforeDeadline(t *testing.T) {
+	for seed := range uint64(seeds) {
+		r := newWorld(t, seed).play()
+		must.Eq(t, "complete", r.state, must.Sprint(seed, r))
+		must.Between(t, 12*time.Second, r.endedAfter, 14500*time.Millisecond, must.Sprint(seed))
+	}
+}
+
+// TestPlay_GoodVersionWithFewRequestsCompletes guards against a rollout that waits for
+// responses that never come.
+func TestPlay_GoodVersionWithFewRequestsCompletes(t *testing.T) {
+	for _, rate := range []float64{0, 2, 10, 40} {
+		w := newWorld(t, 1)
+		w.rate = rate
+		r := w.play()
+		must.Eq(t, "complete", r.state, must.Sprint(rate, r))
+	}
+}
+
+// TestPlay_FaultyServersOfGoodVersion has 14 in 100 servers of both versions fail half of
+// their requests. It guards against a rollback because of single servers.
+func TestPlay_FaultyServersOfGoodVersion(t *testing.T) {
+	rolledBack, late := 0, 0
+	for seed := range uint64(4 * seeds) {
+		w := newWorld(t, seed)
+		w.markFaulty(0.14)
+		switch r := w.play(); r.state {
+		case "rolledBack":
+			rolledBack++
+		case "complete":
+		default:
+			late++
+		}
+	}
+	t.Logf("rolled back %d, not complete %d of %d", rolledBack, late, 4*seeds)
+	must.Eq(t, 0, late)
+	must.LessEq(t, 4*seeds/50, rolledBack)
+}
+
+// TestPlay_OneFaultyCanaryIsSetAside has the first canary fail half of its requests.
+func TestPlay_OneFaultyCanaryIsSetAside(t *testing.T) {
+	for n := range 12 {
+		w := newWorld(t, uint64(n))
+		w.faulty[fmt.Sprint("new-", n)] = true
+		must.Eq(t, "complete", w.play().state, must.Sprint(n))
+	}
+}
+
+// TestPlay_VersionThatFailsHalf guards against exposure to a version that is bad at once.
+func TestPlay_VersionThatFailsHalf(t *testing.T) {
+	for seed := range uint64(seeds) {
+		w := newWorld(t, seed)
+		w.markFaulty(0.14)
+		w.bad = func(time.Duration, int, float64) float64 { return 0.5 }
+		r := w.play()
+		mustBeRolledBack(t, r, fmt.Sprint("seed ", seed))
+		must.LessEq(t, 120, r.exposed, must.Sprint(seed))
+	}
+}
+
+// TestPlay_VersionThatIsSlow guards against exposure to a version of which every response
+// is slow.
+func TestPlay_VersionThatIsSlow(t *testing.T) {
+	for seed := range uint64(seeds) {
+		w := newWorld(t, seed)
+		w.bad = func(time.Duration, int, float64) float64 { return 1 }
+		mustBeRolledBack(t, w.play(), fmt.Sprint("seed ", seed))
+	}
+}
+
+// TestPlay_VersionThatTurnsBadLate guards against steps that are taken before a version
+// turns bad, and against early good responses that hide later bad ones.
+func TestPlay_VersionThatTurnsBadLate(t *testing.T) {
+	for seed := range uint64(seeds) {
+		w := newWorld(t, seed)
+		from := 3*time.Second + time.Duration(seed%7)*500*time.Millisecond
+		w.bad = func(after time.Duration, _ int, _ float64) float64 {
+			if after < from {
+				return 0
+			}
+			return 0.5
+		}
+		mustBeRolledBack(t, w.play(), fmt.Sprint("from ", from))
+	}
+}
+
+// TestPlay_VersionThatFailsUnderLoad has servers fail from the load on that each has at the
+// end. It guards against a canary that is spread so thinly that the fault shows only then.
+func TestPlay_VersionThatFailsUnderLoad(t *testing.T) {
+	for seed := range uint64(seeds) {
+		w := newWorld(t, seed)
+		limit := 10 + float64(seed%4)*4 // requests per second and server
+		w.bad = func(_ time.Duration, _ int, perSecond float64) float64 {
+			if perSecond < limit {
+				return 0
+			}
+			return 0.5
+		}
+		mustBeRolledBack(t, w.play(), fmt.Sprint("limit ", limit))
+	}
+}
+
+// TestPlay_VersionThatFailsOnOneRoute has one of four routes fail half of its requests.
+func TestPlay_VersionThatFailsOnOneRoute(t *testing.T) {
+	for seed := range uint64(seeds) {
+		w := newWorld(t, seed)
+		w.routes = 4
+		w.bad = func(_ time.Duration, route int, _ float64) float64 {
+			if route != 2 {
+				return 0
+			}
+			return 0.5
+		}
+		r := w.play()
+		mustBeRolledBack(t, r, fmt.Sprint("seed ", seed))
+	}
+}
+
+// TestPlay_FaultOfBothVersions has servers of both versions fail at the same time, as when
+// a service that they call is away. It guards against blaming the version.
+func TestPlay_FaultOfBothVersions(t *testing.T) {
+	for seed := range uint64(seeds) {
+		w := newWorld(t, seed)
+		w.badOld = 0.4
+		w.bad = func(time.Duration, int, float64) float64 { return 0.4 }
+		must.NotEq(t, "rolledBack", w.play().state, must.Sprint(seed))
+	}
+}
+
+// TestPlay_StoreAwayTakesNoStep has the store away in the middle. It guards against a step
+// that no record holds, and against a good version that is late because of it.
+func TestPlay_StoreAwayTakesNoStep(t *testing.T) {
+	for _, from := range []time.Duration{time.Second, 4 * time.Second, 6 * time.Second, 9 * time.Second} {
+		w := newWorld(t, 1)
+		away := func(after time.Duration) bool { return after >= from && after < from+4*time.Second }
+		w.storeAway = away
+		r := w.play()
+		must.Eq(t, "complete", r.state, must.Sprint(from, r))
+		for _, step := range r.steps {
+			must.False(t, away(step))
+		}
+	}
+}
+
+// TestPlay_BadVersionWhileStoreIsAway guards against a rollback that waits for the store.
+func TestPlay_BadVersionWhileStoreIsAway(t *testing.T) {
+	w := newWorld(t, 1)
+	w.storeAway = func(after time.Duration) bool { return after >= time.Second && after < 10*time.Second }
+	w.bad = func(after time.Duration, _ int, _ float64) float64 {
+		if after < 2*time.Second {
+			return 0
+		}
+		return 0.5
+	}
+	r := w.play()
+	mustBeRolledBack(t, r, "store away")
+	must.Less(t, 8*time.Second, r.endedAfter)
+}
+
+// TestPlay_OnlyTargetServerDecidesAlone guards against a bad version that is kept because
+// a second server is missing.
+func TestPlay_OnlyTargetServerDecidesAlone(t *testing.T) {
+	for _, targets := range []int{1, 2, 3} {
+		w := newWorld(t, 1)
+		w.targets = targets
+		w.bad = func(time.Duration, int, float64) float64 { return 0.5 }
+		mustBeRolledBack(t, w.play(), fmt.Sprint(targets))
+	}
+}
+
+// TestRolledBack_IsFinalForItsOrder guards against a rollout that a late record of a step
+// revives, and checks that an acknowledged completion takes precedence.
+func TestRolledBack_IsFinalForItsOrder(t *testing.T) {
+	w := newWorld(t, 1)
+	w.rollout.MergeRecord(w.now, rollout.NewRecord(10, newVersion, oldVersion, rollout.Running, 1, 0).WithVersion(11))
+	must.True(t, w.rollout.RollBack())
+	w.rollout.MergeRecord(w.now, rollout.NewRecord(10, newVersion, oldVersion, rollout.Running, 5, 0).WithVersion(12))
+	must.Eq(t, "rolledBack", w.rollout.State())
+	must.Eq(t, []string{oldVersion}, w.rollout.Admitted(w.now, ""))
+	w.rollout.MergeRecord(w.now, rollout.NewRecord(10, newVersion, oldVersion, rollout.Complete, 5, 0).WithVersion(13))
+	must.Eq(t, []string{newVersion}, w.rollout.Admitted(w.now, ""))
+}
+
+// TestRecord_OfEarlierOrderStartsNothing guards against a new order that inherits the state
+// of the one before, whose version its first write has to expect.
+func TestRecord_OfEarlierOrderStartsNothing(t *testing.T) {
+	w := newWorld(t, 1)
+	w.rollout.MergeRecord(w.now, rollout.NewRecord(3, "v0", "", rollout.RolledBack, 2, 0).WithVersion(4))
+	must.Eq(t, "canary", w.rollout.State())
+	must.Eq(t, 0, w.rollout.Policy(w.servers(), oldVersion).Share())
+	next := w.rollout.Next(w.now, w.servers()).Record()
+	must.Eq(t, 4, next.Version())
+	must.Eq(t, 10, next.Order())
+	must.Eq(t, oldVersion, next.Previous())
+}
+
+// TestAdmission_VersionThatNoOrderNames guards against requests to a server whose version
+// is not known to be that of the service.
+func TestAdmission_VersionThatNoOrderNames(t *testing.T) {
+	a := rollout.NewAdmission(false, oldVersion)
+	must.True(t, a.Admits(oldVersion, oldVersion))
+	must.True(t, a.Admits(oldVersion, ""))
+	must.False(t, a.Admits(newVersion, ""))
+	must.False(t, a.Admits(newVersion, oldVersion))
+	must.False(t, a.Admits(oldVersion, newVersion))
+	must.False(t, a.Admits("", ""), must.Sprint("version unknown to both"))
+	must.True(t, a.Admits("", oldVersion), must.Sprint("version known to the sender"))
+	must.False(t, rollout.Admission{}.Admits(oldVersion, oldVersion))
+}
+
+// TestOwnRelease_IsThatOfMostServers guards against new servers that are taken for the
+// service before their order is known.
+func TestOwnRelease_IsThatOfMostServers(t *testing.T) {
+	servers := []rollout.Server{rollout.NewServer("a", oldVersion, true), rollout.NewServer("b", newVersion, true), rollout.NewServer("c", "", true)}
+	must.Eq(t, oldVersion, rollout.OwnRelease(servers, oldVersion))
+	must.Eq(t, newVersion, rollout.OwnRelease(servers, newVersion))
+	must.Eq(t, oldVersion, rollout.OwnRelease(servers, newVersion, newVersion))
+	must.Eq(t, newVersion, rollout.OwnRelease(append(servers, rollout.NewServer("d", newVersion, true)), oldVersion))
+}
+
+// TestTurn_OneNodeGoesFirst guards against all nodes writing at once.
+func TestTurn_OneNodeGoesFirst(t *testing.T) {
+	nodes := []string{"a", "b", "c", "d"}
+	next := rollout.NewRecord(1, newVersion, oldVersion, rollout.Running, 2, 0)
+	turns := map[time.Duration]bool{}
+	for _, n := range nodes {
+		turns[rollout.Turn(n, nodes, "shop", next)] = true
+	}
+	must.MapEq(t, map[time.Duration]bool{0: true, 150 * time.Millisecond: true, 300 * time.Millisecond: true, 450 * time.Millisecond: true}, turns)
+}
--- a/lib/serverproxy/messages.go
+++ b/lib/serverproxy/messages.go
@@ -5,6 +5,7 @@
 
 	"savorygap.example/lib/httpclient"
 	"savorygap.example/lib/limiter"
+	"savorygap.example/lib/rollout"
 	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
 )
@@ -23,6 +24,7 @@
 	snapshot    *Snapshot
 	checkResult *healthResult
 	stop        *upstream.Shutdown
+	admission   *rollout.Admission
 	drain       bool
 	dump        task.Reply[Dump]
 }
@@ -127,6 +129,8 @@
 		p.handleSnapshot(*m.snapshot)
 	case m.checkResult != nil:
 		p.handleHealthResult(m.checkResult)
+	case m.admission != nil:
+		p.setAdmission(*m.admission)
 	case m.stop != nil:
 		p.handleStop(*m.stop)
 	case m.drain:
--- a/lib/serverproxy/proxy.go
+++ b/lib/serverproxy/proxy.go
@@ -14,6 +14,7 @@
 	"savorygap.example/lib/httpclient"
 	"savorygap.example/lib/limiter"
 	"savorygap.example/lib/quarantine"
+	"savorygap.example/lib/rollout"
 	"savorygap.example/lib/routeconfig"
 	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
@@ -52,6 +53,7 @@
 	names      headernames.Set
 	dial       func(ctx context.Context, address string) (*httpclient.Conn, error)
 	heldFor    func(r *upstream.Request) time.Duration
+	judged     func(Judgement) // nil without rollouts
 }
 
 // NewConfig returns the settings of the proxy on node for the server of service
@@ -94,6 +96,7 @@
 	service   string
 	instance  string
 	accepting bool
+	release   string
 }
 
 // Service returns the name of the service.
@@ -142,6 +145,7 @@
 	hooks     Hooks
 	observer  Observer
 	published ServerState
+	admission rollout.Admission
 }
 
 // Observer receives measurements through its function fields.
@@ -299,6 +303,7 @@
 	p.noticePause(now)
 	p.lastTickAt = now
 	p.refuseOutliving(now)
+	p.judgeRunning(now)
 	p.advanceQueue(now)
 	p.health.checkIfDue(now, p)
 	p.logSendRate(now)
@@ -328,7 +333,7 @@
 
 // publishState notifies the node if the published state has changed.
 func (p *Proxy) publishState() {
-	state := ServerState{service: p.latest.service, instance: p.instance, accepting: p.admits()}
+	state := ServerState{service: p.latest.service, instance: p.instance, accepting: p.admits(), release: p.knownRelease()}
 	if state != p.published {
 		p.published = state
 		p.hooks.stateChanged(state)
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -46,6 +46,8 @@
 	slownessAtStart float64
 	generation      uint64
 	notified        bool
+	slot            upstream.SlotRequest
+	judged          bool
 }
 
 func (p *Proxy) handleReserve(m *reserveMessage) {
@@ -53,6 +55,10 @@
 		m.reply(upstream.NewEvent(upstream.Refused, m.key.Number()).WithReason(p.refusalReason(m.request)))
 		return
 	}
+	if reason := p.versionRefusal(m.request); reason != "" {
+		m.reply(upstream.NewEvent(upstream.Refused, m.key.Number()).WithReason(reason))
+		return
+	}
 	now := p.clock.Now()
 	pending := newPendingRequest(now, m)
 	if p.outlivesProcess(now, pending) {
@@ -133,7 +139,7 @@
 	}
 	requestCtx, cancel := context.WithDeadline(ctx, m.request.Deadline())
 	p.inFlight.Add(1)
-	p.forwarded[m.key] = &forwardedRequest{request: m.request, cancel: cancel, started: now, slownessAtStart: p.slotLimiter.Slowness(), generation: p.generation}
+	p.forwarded[m.key] = &forwardedRequest{request: m.request, cancel: cancel, started: now, slownessAtStart: p.slotLimiter.Slowness(), generation: p.generation, slot: pending.request}
 	p.stated.requests++
 	conn := p.takeIdleConn(now, m.request)
 	if conn == nil {
@@ -188,6 +194,7 @@
 	if a, ok := m.result.Advisory(); ok {
 		p.handleAdvisory(now, r.started, sourceRequest, r.generation, a)
 	}
+	p.judgeFinished(now, r, m.result)
 	p.recordResult(now, m.result, now.Sub(r.started), cancelled)
 	if isLost(m.result) && r.generation == p.generation {
 		p.recordLoss(now, r.request)
--- a/lib/upstream/upstream.go
+++ b/lib/upstream/upstream.go
@@ -40,6 +40,7 @@
 	latency        time.Duration
 	tenant         string
 	route          string
+	release        string
 }
 
 // NewSlotRequest returns a request for a slot at a server of the service.
@@ -104,6 +105,15 @@
 	return r
 }
 
+// WithRelease returns the request with the version that the server must have, "" for any.
+func (r SlotRequest) WithRelease(release string) SlotRequest {
+	r.release = release
+	return r
+}
+
+// Release returns the version that the server must have, "" for any.
+func (r SlotRequest) Release() string { return r.release }
+
 // Tenant returns the tenant that the HTTP request belongs to, "" for none.
 func (r SlotRequest) Tenant() string { return r.tenant }
 
--- a/savorygap-node/internal/links/links.go
+++ b/savorygap-node/internal/links/links.go
@@ -10,6 +10,7 @@
 	"savorygap.example/lib/serverproxy"
 	"savorygap.example/platform"
 	"savorygap.example/savorygap-node/internal/process"
+	"savorygap.example/savorygap-node/internal/rollouts"
 	"savorygap.example/savorygap-node/internal/servers"
 	"savorygap.example/savorygap-node/internal/settings"
 	"savorygap.example/savorygap-node/internal/storage"
@@ -38,7 +39,10 @@
 			p.Frontend().SetLimits(s.Config().Limits())
 			p.Configured()
 		},
-		p.Router().SetPeers,
+		func(peers []fleet.Peer) {
+			p.Router().SetPeers(peers)
+			rollouts.SetPeers(p, peers)
+		},
 		p.Router().SetNodeCount,
 		func(departures []registry.Record, stored bool) {
 			for _, d := range departures {
@@ -56,6 +60,7 @@
 		p.Registrar().RestoreEntry,
 		p.Registrar().RemoveMember,
 	).WithQuarantine(p.Router().ApplySuspicions, p.Router().HeldRequests)
+	hooks = rollouts.Connect(p, hooks)
 	self := fleet.NewMember(t.Host(), t.AdvertisedAddress(), t.DataCentre(), t.Service()).WithBandwidth(t.NetworkBandwidth())
 	handler := link.NewHandler(proxy.Reserve, proxy.Withdraw, proxy.Submit, proxy.Cancel, proxy.ReleaseLink, p.RequestMemory(), p.ResponseMemory())
 	f, err := fleet.New(self, p.Charts(), hooks, handler, p.Clock(), p.Log())
@@ -63,6 +68,7 @@
 		return err
 	}
 	p.SetFleet(f)
+	rollouts.Start(p)
 	go f.Run(p.Context(), listener)
 	if err := servers.Start(p); err != nil {
 		return err
--- a/savorygap-node/internal/pipeline/node_test.go
+++ b/savorygap-node/internal/pipeline/node_test.go
@@ -94,6 +94,14 @@
 // addHost starts a host whose server runs service, and waits until all nodes know
 // that it accepts requests.
 func (cl *cluster) addHost(t *testing.T, service string, serviceTime time.Duration) *host {
+	t.Helper()
+	h := cl.newHost(t, service, serviceTime)
+	cl.startHost(t, h)
+	return h
+}
+
+// newHost starts the server of a host and writes the settings of its node.
+func (cl *cluster) newHost(t *testing.T, service string, serviceTime time.Duration) *host {
 	t.Helper()
 	h := &host{name: fmt.Sprintf("host-%d", len(cl.hosts)+1), addresses: map[string]string{}, clock: clockwork.NewRealClock(), log: io.Discard}
 	h.server = platformtest.NewServer("i-"+h.name, service, 10, serviceTime)
@@ -115,11 +123,17 @@
 drain: {grace: 6s}
 `, h.name, service, h.server.Address(), h.addresses["callers"], h.addresses["links"], h.addresses["ready"], h.addresses["announcements"], h.addresses["metrics"], cl.address), 0o600))
 	cl.hosts = append(cl.hosts, h)
+	return h
+}
+
+// startHost starts the node of a host, and waits until all nodes know that its server
+// accepts requests.
+func (cl *cluster) startHost(t *testing.T, h *host) {
+	t.Helper()
 	h.start(t)
 	t.Cleanup(func() { h.kill() })
 	h.announce(t, "ready")
-	cl.awaitAccepting(t, h, service, true)
-	return h
+	cl.awaitAccepting(t, h, h.server.Service(), true)
 }
 
 func (h *host) start(t *testing.T) {
--- a/savorygap-node/internal/pipeline/pipeline.go
+++ b/savorygap-node/internal/pipeline/pipeline.go
@@ -19,6 +19,7 @@
 	"savorygap.example/savorygap-node/internal/local"
 	"savorygap.example/savorygap-node/internal/logs"
 	"savorygap.example/savorygap-node/internal/process"
+	"savorygap.example/savorygap-node/internal/rollouts"
 	"savorygap.example/savorygap-node/internal/routing"
 	"savorygap.example/savorygap-node/internal/servers"
 	"savorygap.example/savorygap-node/internal/settings"
@@ -38,6 +39,7 @@
 		{logs.String, logs.Default, logs.Run},
 		{storage.String, storage.Default, storage.Run},
 		{routing.String, routing.Default, routing.Run},
+		{rollouts.String, rollouts.Default, rollouts.Run},
 		{servers.String, servers.Default, servers.Run},
 		{callers.String, callers.Default, callers.Run},
 		{links.String, links.Default, links.Run},
--- /dev/null
+++ b/savorygap-node/internal/pipeline/rollout_test.go
@@ -0,0 +1,137 @@
+package pipeline_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"savorygap.example/platform/platformtest"
+)
+
+// addRolloutHost starts a host that follows rollouts, whose server has a version.
+func (cl *cluster) addRolloutHost(t *testing.T, service, version string, serviceTime time.Duration) *host {
+	t.Helper()
+	h := cl.newHost(t, service, serviceTime)
+	h.server.SetVersion(version)
+	text, err := os.ReadFile(h.settingsPath)
+	must.NoError(t, err)
+	must.NoError(t, os.WriteFile(h.settingsPath, append(text, "rollout: {exposureShare: 0.1, exposureSlack: 50, rollbackAfter: 5s}\n"...), 0o600))
+	cl.startHost(t, h)
+	return h
+}
+
+// load sends requests through all hosts until it is stopped.
+type load struct {
+	sent   atomic.Int64
+	failed atomic.Int64
+	stop   context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// startCallers sends perSecond requests through each of the hosts.
+func startCallers(hosts []*host, perSecond int) *load {
+	ctx, stop := context.WithCancel(context.Background())
+	l := &load{stop: stop}
+	for _, h := range hosts {
+		l.done.Add(1)
+		go func() {
+			defer l.done.Done()
+			ticker := time.NewTicker(time.Second / time.Duration(perSecond))
+			defer ticker.Stop()
+			for n := 0; ctx.Err() == nil; n++ {
+				<-ticker.C
+				l.done.Add(1)
+				go func() {
+					defer l.done.Done()
+					method, path := http.MethodGet, "/read/1"
+					if n%2 == 0 {
+						method, path = http.MethodPost, "/order/1"
+					}
+					l.sent.Add(1)
+					if r, err := h.send(context.Background(), method, path, fmt.Sprintf("%s-%d", h.name, n), ""); err != nil || r.status != http.StatusOK {
+						l.failed.Add(1)
+					}
+				}()
+			}
+		}()
+	}
+	return l
+}
+
+func (l *load) end() {
+	l.stop()
+	l.done.Wait()
+}
+
+func awaitRollout(t *testing.T, store *platformtest.Store, state string, timeout time.Duration) {
+	t.Helper()
+	eventually(t, timeout, func() bool { s, _ := store.RolloutState("shop"); return s == state })
+}
+
+// countSent returns how many requests reached servers since the last call.
+func countSent(hosts ...*host) int {
+	n := 0
+	for _, h := range hosts {
+		n += len(takeRequestIDs(h.server))
+	}
+	return n
+}
+
+// TestRollout_GoodVersionCompletes rolls out a good version while requests come. It guards
+// against a rollout that misses its deadline, requests that fail because of it, and
+// requests to the old version when the store says that the rollout is complete.
+func TestRollout_GoodVersionCompletes(t *testing.T) {
+	cl := newCluster(t)
+	caller := cl.addRolloutHost(t, "till", "t1", 0)
+	old := []*host{cl.addRolloutHost(t, "shop", "v1", 20*time.Millisecond), cl.addRolloutHost(t, "shop", "v1", 20*time.Millisecond), cl.addRolloutHost(t, "shop", "v1", 20*time.Millisecond)}
+	next := []*host{cl.addRolloutHost(t, "shop", "v2", 20*time.Millisecond), cl.addRolloutHost(t, "shop", "v2", 20*time.Millisecond)}
+	l := startCallers([]*host{caller, old[0]}, 80)
+	time.Sleep(300 * time.Millisecond)
+	must.Eq(t, 0, countSent(next...), must.Sprint("requests to a version that no order names"))
+	cl.store.OrderRollout("shop", "v2", 5*time.Second)
+	ordered := time.Now()
+	awaitRollout(t, cl.store, "running", 2*time.Second)
+	awaitRollout(t, cl.store, "complete", 5*time.Second)
+	must.Less(t, 5*time.Second, time.Since(ordered))
+	countSent(old...)
+	for _, h := range old {
+		must.Eq(t, 0, h.server.InFlight())
+	}
+	time.Sleep(300 * time.Millisecond)
+	l.end()
+	must.Eq(t, 0, countSent(old...), must.Sprint("requests to the old version of a complete rollout"))
+	must.Greater(t, 100, countSent(next...))
+	must.Eq(t, 0, l.failed.Load(), must.Sprintf("of %d", l.sent.Load()))
+}
+
+// TestRollout_BadVersionIsRolledBack rolls out a version of which every second response
+// fails. It guards against exposure above the bounds.
+func TestRollout_BadVersionIsRolledBack(t *testing.T) {
+	cl := newCluster(t)
+	caller := cl.addRolloutHost(t, "till", "t1", 0)
+	old := []*host{cl.addRolloutHost(t, "shop", "v1", 20*time.Millisecond), cl.addRolloutHost(t, "shop", "v1", 20*time.Millisecond)}
+	next := []*host{cl.addRolloutHost(t, "shop", "v2", 20*time.Millisecond), cl.addRolloutHost(t, "shop", "v2", 20*time.Millisecond)}
+	for _, h := range next {
+		h.server.SetFailures(2, "/")
+	}
+	l := startCallers([]*host{caller, old[0]}, 80)
+	cl.store.OrderRollout("shop", "v2", 5*time.Second)
+	awaitRollout(t, cl.store, "rolled_back", 5*time.Second)
+	exposed := countSent(next...)
+	time.Sleep(500 * time.Millisecond)
+	l.end()
+	must.Eq(t, 0, countSent(next...), must.Sprint("requests after the rollback"))
+	must.LessEq(t, 40, exposed)
+	t.Logf("exposed %d of %d, failed %d", exposed, l.sent.Load(), l.failed.Load())
+	_, version := cl.store.RolloutState("shop")
+	must.Eq(t, "v2", version)
+	must.True(t, strings.Contains(string(cl.store.Get("savorygap/rollout/shop")), "rolledBack"))
+}
--- a/savorygap-node/internal/process/process.go
+++ b/savorygap-node/internal/process/process.go
@@ -24,6 +24,7 @@
 	"savorygap.example/lib/fleet"
 	"savorygap.example/lib/frontend"
 	"savorygap.example/lib/registry"
+	"savorygap.example/lib/rollout/control"
 	"savorygap.example/lib/serverproxy"
 	"savorygap.example/lib/upstream"
 	"savorygap.example/savorygap-node/internal/metrics"
@@ -50,6 +51,7 @@
 	router            *dispatch.Router
 	serverProxy       *serverproxy.Proxy
 	fleet             *fleet.Fleet
+	rollouts          *control.Controller // nil unless rollouts are followed
 	frontend          *frontend.Frontend
 	callerListener    net.Listener
 	machine           *chart.Machine
@@ -137,6 +139,12 @@
 // SetFleet sets the task that keeps the links to the other nodes.
 func (p *Process) SetFleet(f *fleet.Fleet) { p.fleet = f }
 
+// Rollouts returns the task that follows rollouts, or nil if they are not followed.
+func (p *Process) Rollouts() *control.Controller { return p.rollouts }
+
+// SetRollouts sets the task that follows rollouts.
+func (p *Process) SetRollouts(c *control.Controller) { p.rollouts = c }
+
 // SetFrontend sets the front end that serves callers, and its listener.
 func (p *Process) SetFrontend(f *frontend.Frontend, listener net.Listener) {
 	p.frontend, p.callerListener = f, listener
--- a/savorygap-node/internal/servers/servers.go
+++ b/savorygap-node/internal/servers/servers.go
@@ -14,6 +14,7 @@
 	"savorygap.example/lib/upstream"
 	"savorygap.example/platform"
 	"savorygap.example/savorygap-node/internal/process"
+	"savorygap.example/savorygap-node/internal/rollouts"
 	"savorygap.example/savorygap-node/internal/settings"
 )
 
@@ -35,11 +36,17 @@
 func Run(p *process.Process) error {
 	t := p.Settings()
 	config := serverproxy.NewConfig(t.Host(), t.Service(), t.Server(), t.DataCentre(), platform.HeaderNames(), p.ResponseMemory()).WithQuarantine(p.Router().HeldFor)
+	config = rollouts.Configure(p, config)
 	observer := serverproxy.NewObserver(p.Metrics().ObserveServerRequest, p.Metrics().CountHealthCheck, p.Metrics().CountServerConnection)
 	var endpoint *upstream.Endpoint
 	onStateChange := func(s serverproxy.ServerState) {
+		rollouts.SetLocalServer(p, s)
 		p.Router().SetLocalServer(s.Service(), s.Accepting(), endpoint)
-		p.Fleet().SetServerState(link.NewServerState(s.Service(), s.Instance(), s.Accepting()))
+		state := link.NewServerState(s.Service(), s.Instance(), s.Accepting())
+		if t.FollowsRollouts() {
+			state = state.WithRelease(s.Release())
+		}
+		p.Fleet().SetServerState(state)
 	}
 	leaving := task.NewLatest[departure]()
 	onLeaving := func(instance string, startedAt int64) {
--- a/savorygap-node/internal/settings/settings.go
+++ b/savorygap-node/internal/settings/settings.go
@@ -32,6 +32,8 @@
 	Store           fileStore  `yaml:"store"`
 	Retries         fileRetry  `yaml:"retries"`
 	Drain           fileDrain  `yaml:"drain"`
+
+	Rollout *fileRollout `yaml:"rollout,omitempty"`
 }
 
 type fileListen struct {
