--- a/lib/rollout/control/control.go
+++ b/lib/rollout/control/control.go
@@ -32,9 +32,8 @@
 	// otherInterval is how often the counts of a server that is not of the target version
 	// are sent: they are only compared with.
 	otherInterval = 500 * time.Millisecond
-	// settlingTime is how long after its start a node waits for a link to one of the other
-	// nodes of its service before it takes the version of its own server for that of the
-	// service.
+	// settlingTime is how long after its start a node waits for links to half of the other
+	// nodes before it decides on the version of its service by those that it has.
 	settlingTime = 3 * time.Second
 	// watchDelay is about how old an order is when a watch returns it: nodes pause between
 	// two watches. The duration counts from the order.
@@ -137,21 +136,23 @@
 	localStates *task.Latest[Peer]
 	tickTimer   <-chan time.Time
 	startedAt   time.Time
-	readVersion uint64 // of the last full read of the store, 0 for none
-	othersKnown bool   // whether the store lists other nodes of the service
-	local       Peer
-	peers       []Peer
-	releases    rollout.Releases
-	servers     map[string][]rollout.Server // by service
-	own         map[string]string           // versions by service
-	records     map[string]rollout.Record   // the newest known, by service
-	rollouts    map[string]*entry           // by service
-	tally       rollout.Tally
-	policies    map[string]rollout.Policy
-	admission   rollout.Admission
-	current     atomic.Pointer[[]rollout.Message]
-	underWay    atomic.Int64
-	rolledBack  atomic.Int64
+	// listedMembers is the number of other nodes that the last full read listed.
+	listedMembers int
+	readVersion   uint64 // of the last full read of the store, 0 for none
+	local         Peer
+	established   string // the version of the local service, as long as no order names one
+	peers         []Peer
+	releases      rollout.Releases
+	servers       map[string][]rollout.Server // by service
+	own           map[string]string           // versions by service
+	records       map[string]rollout.Record   // the newest known, by service
+	rollouts      map[string]*entry           // by service
+	tally         rollout.Tally
+	policies      map[string]rollout.Policy
+	admission     rollout.Admission
+	current       atomic.Pointer[[]rollout.Message]
+	underWay      atomic.Int64
+	rolledBack    atomic.Int64
 }
 
 // entry is a rollout with the state of its messages and writes.
--- a/lib/rollout/control/learn.go
+++ b/lib/rollout/control/learn.go
@@ -11,13 +11,13 @@
 // applyUpdate applies records read from the store, and tells the peers of what is new in
 // a watch: the next watch of a peer may be much later.
 func (c *Controller) applyUpdate(u registry.Update) {
-	listed := map[string]bool{}
+	listed, members := map[string]bool{}, 0
 	for _, r := range u.Records() {
 		switch {
 		case r.Kind() == registry.KindRollout && !r.Removed():
 			c.applyRecord(r)
 		case r.Kind() == registry.KindMember && r.Name() != c.config.node:
-			c.othersKnown = true
+			members++
 		}
 	}
 	for _, r := range u.Records() {
@@ -34,7 +34,7 @@
 			c.withdraw(e)
 		}
 	}
-	c.readVersion = u.Version()
+	c.readVersion, c.listedMembers = u.Version(), members
 }
 
 func (c *Controller) applyRecord(r registry.Record) {
@@ -182,11 +182,15 @@
 	e.tallied = true
 }
 
-// ownOfOthers returns the version that most servers of the service state, except the one
-// on this host.
+// ownOfOthers returns the version that most servers of the service state. The server on
+// this host counts only once its version was found to be that of the service.
 func (c *Controller) ownOfOthers(service string) string {
-	others := slices.DeleteFunc(slices.Clone(c.servers[service]), func(s rollout.Server) bool { return s.Node() == c.config.node })
-	return rollout.OwnRelease(others, c.own[service], c.unproven(service)...)
+	servers, known := c.servers[service], c.established
+	if known == "" || known != c.local.release {
+		known = ""
+		servers = slices.DeleteFunc(slices.Clone(servers), func(s rollout.Server) bool { return s.Node() == c.config.node })
+	}
+	return rollout.OwnRelease(servers, known, c.unproven(service)...)
 }
 
 // publish tells the node how requests are divided and which versions its server may have,
@@ -211,21 +215,26 @@
 }
 
 // nextAdmission returns which versions the server on this host may have. Until the store
-// was read or a peer is linked, it is not known whether an order names its version.
+// was read or a peer is linked, it is not known whether an order names its version. While
+// few of the listed nodes are linked, those may be the other hosts of a new version.
 func (c *Controller) nextAdmission() rollout.Admission {
 	service, now := c.local.service, c.clock.Now()
 	own := c.ownOfOthers(service)
-	if e, ok := c.rollouts[service]; ok {
+	e, ordered := c.rollouts[service]
+	hasRecord := ordered && e.rollout.Record().Order() == e.rollout.Order().Version()
+	if !hasRecord && (c.readVersion == 0 && len(c.peers) == 0 || 2*len(c.peers) < c.listedMembers && now.Sub(c.startedAt) < settlingTime) {
+		return rollout.Admission{}
+	}
+	if ordered {
 		if own == "" && c.local.release != e.rollout.Order().Target() {
 			own = c.local.release
 		}
 		return rollout.NewAdmission(e.rollout.IsUnderWay(), e.rollout.Admitted(now, own)...)
 	}
-	switch {
-	case own != "":
+	if own != "" {
+		c.established = own
 		return rollout.NewAdmission(false, own)
-	case c.readVersion == 0 && len(c.peers) == 0, c.othersKnown && now.Sub(c.startedAt) < settlingTime:
-		return rollout.Admission{}
 	}
+	c.established = c.local.release
 	return rollout.AdmitAny()
 }
--- a/lib/serverproxy/versions.go
+++ b/lib/serverproxy/versions.go
@@ -16,6 +16,9 @@
 	// slowFactor is how many times longer than its sender expects a response of a sound
 	// version may take, after division by the slowness that the server states.
 	slowFactor = 3.0
+	// endedFactor takes the place of slowFactor for a request without a response, since
+	// callers give up on slow requests. The servers of the old version are judged alike.
+	endedFactor = 2.0
 	// maxExcusedSlowness bounds that division. Servers are up to 4 times slower for a few
 	// hundred milliseconds, which then counts as twice; a bad version that is 8 times
 	// slower and states that counts as 4 times slower.
@@ -99,13 +102,13 @@
 }
 
 // slowAfter returns the time after which a request at a server of the given slowness
-// counts as slow.
-func (p *Proxy) slowAfter(r *forwardedRequest, slowness float64) time.Duration {
+// counts as slow: factor times what its sender expects.
+func (p *Proxy) slowAfter(r *forwardedRequest, factor, slowness float64) time.Duration {
 	expected := r.slot.ExpectedLatency()
 	if expected <= 0 {
 		return math.MaxInt64
 	}
-	return time.Duration(slowFactor * min(max(slowness, 1), maxExcusedSlowness) * float64(expected))
+	return time.Duration(factor * min(max(slowness, 1), maxExcusedSlowness) * float64(expected))
 }
 
 // judgeFinished judges the response to a request. A request that its caller or its time
@@ -119,7 +122,7 @@
 	ended := errors.Is(result.Err(), context.Canceled) || errors.Is(result.Err(), context.DeadlineExceeded)
 	switch {
 	case ended:
-		if took > p.slowAfter(r, 1) {
+		if took > p.slowAfter(r, endedFactor, 1) {
 			p.judge(r, true)
 		}
 	case result.Outcome() == httpclient.NotRun:
@@ -128,7 +131,7 @@
 	case result.Response().Status() >= http.StatusInternalServerError:
 		p.judge(r, true)
 	default:
-		p.judge(r, took > p.slowAfter(r, max(r.slownessAtStart, p.slotLimiter.Slowness())))
+		p.judge(r, took > p.slowAfter(r, slowFactor, max(r.slownessAtStart, p.slotLimiter.Slowness())))
 	}
 }
 
@@ -139,7 +142,7 @@
 		return
 	}
 	for _, r := range p.forwarded {
-		if p.isJudged(r) && now.Sub(r.started) > p.slowAfter(r, max(r.slownessAtStart, p.slotLimiter.Slowness())) {
+		if p.isJudged(r) && now.Sub(r.started) > p.slowAfter(r, slowFactor, max(r.slownessAtStart, p.slotLimiter.Slowness())) {
 			p.judge(r, true)
 		}
 	}
--- a/savorygap-node/internal/pipeline/rollout_test.go
+++ b/savorygap-node/internal/pipeline/rollout_test.go
@@ -135,3 +135,85 @@
 	must.Eq(t, "v2", version)
 	must.True(t, strings.Contains(string(cl.store.Get("savorygap/rollout/shop")), "rolledBack"))
 }
+
+// TestRollout_SlowVersionIsRolledBackWhileStoreIsAway rolls out a version that takes 8
+// times as long, and takes the store away after the rollout has begun. It guards against a
+// rollback that waits for the store, and against one that is not written afterwards.
+func TestRollout_SlowVersionIsRolledBackWhileStoreIsAway(t *testing.T) {
+	cl := newCluster(t)
+	caller := cl.addRolloutHost(t, "till", "t1", 0)
+	old := []*host{cl.addRolloutHost(t, "shop", "v1", 30*time.Millisecond), cl.addRolloutHost(t, "shop", "v1", 30*time.Millisecond)}
+	next := []*host{cl.addRolloutHost(t, "shop", "v2", 240*time.Millisecond), cl.addRolloutHost(t, "shop", "v2", 240*time.Millisecond)}
+	l := startCallers([]*host{caller, old[0]}, 80)
+	time.Sleep(300 * time.Millisecond)
+	cl.store.OrderRollout("shop", "v2", 6*time.Second)
+	awaitRollout(t, cl.store, "running", 2*time.Second)
+	cl.store.SetUnavailable(true)
+	eventually(t, 5*time.Second, func() bool {
+		return next[0].process.Rollouts().UnderWay() == 0 && caller.process.Rollouts().UnderWay() == 0
+	})
+	exposed := countSent(next...)
+	time.Sleep(500 * time.Millisecond)
+	must.Eq(t, 0, countSent(next...), must.Sprint("requests after the rollback"))
+	l.end()
+	must.LessEq(t, 50, exposed)
+	state, _ := cl.store.RolloutState("shop")
+	must.Eq(t, "running", state)
+	cl.store.SetUnavailable(false)
+	awaitRollout(t, cl.store, "rolled_back", 3*time.Second)
+}
+
+// TestRollout_NodesThatTakeStepsEnd stops two nodes without a server of the service while
+// a rollout runs, which may be those that take its steps. It guards against a rollout that
+// stands still because of them.
+func TestRollout_NodesThatTakeStepsEnd(t *testing.T) {
+	cl := newCluster(t)
+	callers := []*host{cl.addRolloutHost(t, "till", "t1", 0), cl.addRolloutHost(t, "till", "t1", 0), cl.addRolloutHost(t, "till", "t1", 0)}
+	cl.addRolloutHost(t, "shop", "v1", 10*time.Millisecond)
+	next := cl.addRolloutHost(t, "shop", "v2", 10*time.Millisecond)
+	l := startCallers(callers[:1], 120)
+	cl.store.OrderRollout("shop", "v2", 5*time.Second)
+	awaitRollout(t, cl.store, "running", 2*time.Second)
+	callers[1].kill()
+	time.Sleep(time.Second)
+	callers[2].kill()
+	awaitRollout(t, cl.store, "complete", 5*time.Second)
+	l.end()
+	must.Greater(t, 60, countSent(next))
+	must.Eq(t, 0, l.failed.Load(), must.Sprintf("of %d", l.sent.Load()))
+}
+
+// TestRollout_WithoutSettingsOrdersAreIgnored guards against rollouts in deployments that
+// do not ask for them.
+func TestRollout_WithoutSettingsOrdersAreIgnored(t *testing.T) {
+	cl := newCluster(t)
+	a := cl.addHost(t, "shop", 0)
+	cl.store.OrderRollout("shop", "v2", time.Second)
+	time.Sleep(1500 * time.Millisecond)
+	must.Eq(t, http.StatusOK, a.mustSend(t, http.MethodGet, "/read/1", "id-1", "").status)
+	must.Eq(t, 0, len(cl.store.Keys("status/")))
+	must.Eq(t, 0, len(cl.store.Keys("savorygap/rollout/")))
+}
+
+// TestRollout_RestartedNodeKnowsItsServersVersion restarts the node of a server that does
+// not announce itself again. It guards against an old server that gets no requests because
+// its node does not know its version: the peers do.
+func TestRollout_RestartedNodeKnowsItsServersVersion(t *testing.T) {
+	cl := newCluster(t)
+	caller := cl.addRolloutHost(t, "till", "t1", 0)
+	old := cl.addRolloutHost(t, "shop", "v1", 0)
+	cl.addRolloutHost(t, "shop", "v1", 0)
+	cl.addRolloutHost(t, "shop", "v1", 0)
+	next := cl.addRolloutHost(t, "shop", "v2", 0)
+	must.Eq(t, http.StatusOK, caller.mustSend(t, http.MethodGet, "/read/1", "id-1", "").status)
+	old.kill()
+	old.start(t)
+	cl.awaitAccepting(t, old, "shop", true)
+	takeRequestIDs(old.server)
+	for n := 0; len(takeRequestIDs(old.server)) == 0; n++ {
+		must.Less(t, 400, n, must.Sprint("the server gets no request"))
+		must.Eq(t, http.StatusOK, caller.mustSend(t, http.MethodGet, "/read/1", fmt.Sprint("after-", n), "").status)
+		time.Sleep(10 * time.Millisecond)
+	}
+	must.Eq(t, 0, countSent(next))
+}
--- a/savorygap-node/internal/rollouts/rollouts.go
+++ b/savorygap-node/internal/rollouts/rollouts.go
@@ -61,7 +61,9 @@
 	if c == nil {
 		return config
 	}
+	count := p.Metrics().CountJudged()
 	return config.WithRollouts(func(j serverproxy.Judgement) {
+		count(j.Release(), j.Bad())
 		c.Judge(control.NewJudgement(j.Instance(), j.Release(), j.Route(), j.Bad()))
 	})
 }
