rollout: steps with few responses keep to the deadline, tallies are bounded in large services

Cause: a step that waited for responses delayed all later ones, so that a rollout of 5 s with 160 requests a second was complete 5.25 s after its order by the node's clock. Tallies grew with the number of servers.

Change: the wait for responses counts from the time at which the step was due. The interval between two tallies grows with the servers that send them.

--- a/lib/rollout/control/act.go
+++ b/lib/rollout/control/act.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"savorygap.example/lib/registry"
 	"savorygap.example/lib/rollout"
@@ -30,10 +31,7 @@
 	if !e.tallied && running == e.running {
 		return
 	}
-	now, interval := c.clock.Now(), otherInterval
-	if c.tally.Release() == e.rollout.Order().Target() || running == 0 && e.rollout.HasMoved() {
-		interval = tickInterval
-	}
+	now, interval := c.clock.Now(), c.tallyInterval(e, running)
 	if c.tally.Instance() == "" || now.Sub(e.sentAt) < interval {
 		return
 	}
@@ -43,6 +41,26 @@
 	e.tallied, e.running, e.sentAt = false, running, now
 }
 
+// tallyInterval returns the least time between two tallies of the server on this host. It
+// grows with the servers that send, so that what a node receives does not.
+func (c *Controller) tallyInterval(e *entry, running int) time.Duration {
+	targets, others := 0, 0
+	for _, s := range c.servers[c.local.service] {
+		if s.Release() == e.rollout.Order().Target() {
+			targets++
+		} else {
+			others++
+		}
+	}
+	if c.tally.Release() == e.rollout.Order().Target() {
+		return max(tickInterval, time.Duration(targets)*targetSpacing)
+	}
+	if running == 0 && e.rollout.HasMoved() {
+		return tickInterval
+	}
+	return max(otherInterval, time.Duration(others)*otherSpacing)
+}
+
 // judge applies a rollback at once, tells the peers and leaves the write to the next act.
 func (c *Controller) judge(service string, e *entry) {
 	v, bad := e.rollout.Judge(c.clock.Now(), c.servers[service])
--- a/lib/rollout/control/control.go
+++ b/lib/rollout/control/control.go
@@ -32,6 +32,11 @@
 	// otherInterval is how often the counts of a server that is not of the target version
 	// are sent: they are only compared with.
 	otherInterval = 500 * time.Millisecond
+	// targetSpacing and otherSpacing, multiplied by the number of servers of either kind,
+	// bound those intervals from below where there are many: a node then receives at most
+	// 125 and 50 tallies a second.
+	targetSpacing = 8 * time.Millisecond
+	otherSpacing  = 20 * time.Millisecond
 	// settlingTime is how long after its start a node waits for links to half of the other
 	// nodes before it decides on the version of its service by those that it has.
 	settlingTime = 3 * time.Second
--- a/lib/rollout/plan.go
+++ b/lib/rollout/plan.go
@@ -49,9 +49,9 @@
 	canaryGood = 60
 	// rampGood is how many good responses each server in use needs for a further step.
 	rampGood = 6
-	// patience is the fraction of the duration after which a step with too few responses
-	// is taken nevertheless if the version has no bad ones: few responses mean that few
-	// requests are exposed.
+	// patience is the fraction of the duration by which a step with too few responses may
+	// be late before it is taken nevertheless, if no server is suspected: few responses mean
+	// that few requests are exposed. Half of it is the least time between two such steps.
 	patience = 0.08
 	// leftAlone is the fraction of the duration before which a node that knows no server of
 	// another version does not begin the rollout: it may only lack the links to them.
@@ -151,7 +151,10 @@
 	if r.step() == 0 {
 		return true // the canary goes on
 	}
-	return r.hasEvidence(used) || now.Sub(r.dueSince(next)) >= r.at(patience)
+	if r.hasEvidence(used) {
+		return true
+	}
+	return elapsed >= r.at(next.from+patience) && now.Sub(r.stepSince) >= r.at(patience/2)
 }
 
 // hasEvidence reports whether the servers in use have enough good responses.
@@ -165,16 +168,6 @@
 	return least >= rampGood && (r.step() >= firstRamp || total >= canaryGood)
 }
 
-// dueSince returns the time at which the next step was due, or the present step was
-// taken, if that is later.
-func (r *Rollout) dueSince(next step) time.Time {
-	due := r.learnedAt.Add(r.at(next.from) - r.base)
-	if r.stepSince.After(due) {
-		return r.stepSince
-	}
-	return due
-}
-
 // hasSuspicion reports whether a majority of servers is suspected, though not enough of
 // them for a rollback.
 func (r *Rollout) hasSuspicion() bool { return !r.suspectedSince.IsZero() }
--- a/savorygap-node/internal/pipeline/rollout_test.go
+++ b/savorygap-node/internal/pipeline/rollout_test.go
@@ -21,11 +21,17 @@
 	t.Helper()
 	h := cl.newHost(t, service, serviceTime)
 	h.server.SetVersion(version)
+	h.followRollouts(t)
+	cl.startHost(t, h)
+	return h
+}
+
+// followRollouts adds the settings for rollouts.
+func (h *host) followRollouts(t *testing.T) {
+	t.Helper()
 	text, err := os.ReadFile(h.settingsPath)
 	must.NoError(t, err)
 	must.NoError(t, os.WriteFile(h.settingsPath, append(text, "rollout: {exposureShare: 0.1, exposureSlack: 50, rollbackAfter: 5s}\n"...), 0o600))
-	cl.startHost(t, h)
-	return h
 }
 
 // load sends requests through all hosts until it is stopped.
@@ -217,3 +223,33 @@
 	}
 	must.Eq(t, 0, countSent(next))
 }
+
+// TestRollout_NewHostsStartWithTheirOrder starts the hosts of a good version when the order
+// is written, with cold servers, while one old and one new server fail half of their
+// requests. It guards against a good version that is late or taken for a bad one.
+func TestRollout_NewHostsStartWithTheirOrder(t *testing.T) {
+	cl := newCluster(t)
+	caller := cl.addRolloutHost(t, "till", "t1", 0)
+	old := []*host{cl.addRolloutHost(t, "shop", "v1", 20*time.Millisecond), cl.addRolloutHost(t, "shop", "v1", 20*time.Millisecond), cl.addRolloutHost(t, "shop", "v1", 20*time.Millisecond)}
+	old[1].server.SetFailures(2, "/")
+	l := startCallers([]*host{caller, old[0]}, 80)
+	cl.store.OrderRollout("shop", "v2", 6*time.Second)
+	ordered := time.Now()
+	var next []*host
+	for range 4 {
+		h := cl.newHost(t, "shop", 20*time.Millisecond)
+		h.server.SetVersion("v2")
+		h.server.SetColdMillis(1000)
+		h.followRollouts(t)
+		cl.startHost(t, h)
+		next = append(next, h)
+	}
+	next[3].server.SetFailures(2, "/")
+	time.Sleep(time.Until(ordered.Add(1500 * time.Millisecond)))
+	for _, h := range next {
+		h.server.SetColdMillis(0)
+	}
+	awaitRollout(t, cl.store, "complete", 6*time.Second)
+	must.Less(t, 6*time.Second, time.Since(ordered))
+	l.end()
+}
