rollout: keep what the store acknowledged when it loses or restores a record

Cause: a record that the store had lost was never written again, an older one would have taken steps back, and an order for the version that a service has already took all its servers out of service until its first record.

Change: a record with less progress, or none, keeps the known one in force, which is written again. An order for the version of the last completed order is complete at once. A version that a service had before the order is not unproven, and a service without another version is not rolled back.

--- a/lib/rollout/control/control.go
+++ b/lib/rollout/control/control.go
@@ -162,6 +162,7 @@
 
 // entry is a rollout with the state of its messages and writes.
 type entry struct {
+	inForce  bool // whether the service had the target version before the order
 	rollout  *rollout.Rollout
 	tallied  bool // whether the tally has changed since it was sent
 	running  int  // as it was sent
--- a/lib/rollout/control/learn.go
+++ b/lib/rollout/control/learn.go
@@ -11,11 +11,14 @@
 // applyUpdate applies records read from the store, and tells the peers of what is new in
 // a watch: the next watch of a peer may be much later.
 func (c *Controller) applyUpdate(u registry.Update) {
-	listed, members := map[string]bool{}, 0
+	listed, recorded, members := map[string]bool{}, map[string]bool{}, 0
 	for _, r := range u.Records() {
 		switch {
 		case r.Kind() == registry.KindRollout && !r.Removed():
 			c.applyRecord(r)
+			recorded[r.Name()] = true
+		case r.Kind() == registry.KindRollout:
+			c.loseRecord(r.Name(), r.Version())
 		case r.Kind() == registry.KindMember && r.Name() != c.config.node:
 			members++
 		}
@@ -34,6 +37,11 @@
 			c.withdraw(e)
 		}
 	}
+	for service := range c.records {
+		if !recorded[service] {
+			c.loseRecord(service, u.Version())
+		}
+	}
 	c.readVersion, c.listedMembers = u.Version(), members
 }
 
@@ -50,6 +58,17 @@
 	}
 }
 
+// loseRecord records that the store had no record of a service at a version.
+func (c *Controller) loseRecord(service string, version uint64) {
+	if version < c.records[service].Version() {
+		return
+	}
+	if e, ok := c.rollouts[service]; ok && e.rollout.LoseRecord(version) {
+		c.log.Write("rollout-record-lost", "service", service, "version", version)
+	}
+	delete(c.records, service)
+}
+
 // mergeRecord adopts a record that is newer than the known one. It reports whether it was.
 func (c *Controller) mergeRecord(service string, record rollout.Record, source string) bool {
 	if record.Version() <= c.records[service].Version() {
@@ -103,8 +122,10 @@
 		c.log.Write("chart-error", "error", err.Error())
 		return false
 	}
-	r.MergeRecord(now, c.records[order.Service()])
-	c.rollouts[order.Service()] = &entry{rollout: r}
+	if !r.Adopt(c.records[order.Service()]) {
+		r.MergeRecord(now, c.records[order.Service()])
+	}
+	c.rollouts[order.Service()] = &entry{rollout: r, inForce: c.own[order.Service()] == order.Target()}
 	if order.Service() == c.local.service {
 		c.tally = rollout.NewTally(c.local.node, c.local.release, c.local.instance)
 	}
@@ -161,9 +182,10 @@
 	}
 }
 
-// unproven returns the target version of an order that is not complete.
+// unproven returns the target version of an order that is not complete, unless the service
+// had that version already.
 func (c *Controller) unproven(service string) []string {
-	if e, ok := c.rollouts[service]; ok && !e.rollout.IsComplete() {
+	if e, ok := c.rollouts[service]; ok && !e.rollout.IsComplete() && !e.inForce {
 		return []string{e.rollout.Order().Target()}
 	}
 	return nil
--- a/lib/rollout/order.go
+++ b/lib/rollout/order.go
@@ -16,7 +16,10 @@
 //	policy := r.Policy(servers)
 package rollout
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Order is the order of the operators to move a service to a version.
 type Order struct {
@@ -132,6 +135,18 @@
 // Elapsed returns the time between the order and the step.
 func (r Record) Elapsed() time.Duration { return r.elapsed }
 
+// progress orders the records of one order: a later one has more.
+func (r Record) progress() int {
+	switch r.phase {
+	case Complete:
+		return math.MaxInt
+	case RolledBack:
+		return math.MaxInt - 1
+	case Running:
+	}
+	return r.step
+}
+
 // Version returns the store version at which the record was written, 0 if it was not.
 func (r Record) Version() uint64 { return r.version }
 
--- a/lib/rollout/rollout.go
+++ b/lib/rollout/rollout.go
@@ -28,6 +28,8 @@
 	steps          []step
 	machine        *chart.Machine
 	record         Record // the newest one, possibly of an earlier order
+	stale          bool   // whether the store has an older record, or none
+	lostAt         uint64 // store version at which it had none
 	withdrawn      bool
 	learnedAt      time.Time
 	base           time.Duration // time since the order at learnedAt
@@ -69,6 +71,9 @@
 
 // IsSettled reports whether nothing is left to decide or to write.
 func (r *Rollout) IsSettled() bool {
+	if r.stale && !r.withdrawn {
+		return false
+	}
 	return r.withdrawn || r.IsComplete() || r.IsRolledBack() && r.record.order == r.order.version && r.record.phase == RolledBack
 }
 
@@ -105,13 +110,41 @@
 // Step returns the index of the present step.
 func (r *Rollout) Step() int { return r.step() }
 
+// LoseRecord records that the store had no record at a version. The known one is then
+// written again. It reports whether that is news.
+func (r *Rollout) LoseRecord(version uint64) bool {
+	if r.record.order != r.order.version || r.record.version == 0 || version < r.record.version {
+		return false
+	}
+	r.record.version, r.lostAt, r.stale = 0, version, true
+	return true
+}
+
+// Adopt takes over the outcome of an earlier order for the same target: a service that has
+// the version is complete at once. It reports whether that is so.
+func (r *Rollout) Adopt(record Record) bool {
+	if record.phase != Complete || record.target != r.order.target || record.order == r.order.version {
+		return false
+	}
+	r.record = NewRecord(r.order.version, record.target, record.previous, Complete, shifted, 0).WithVersion(record.version)
+	r.stale = true
+	r.fire(eventFinish)
+	return true
+}
+
 // MergeRecord adopts a record that is newer than the known one. It reports whether it was.
+// A newer one with less progress is that of a store that was restored to an older state:
+// what was acknowledged stays, and is written again.
 func (r *Rollout) MergeRecord(now time.Time, record Record) bool {
-	if record.version <= r.record.version {
+	if record.version <= r.record.version || record.version <= r.lostAt {
 		return false
 	}
+	if record.order == r.record.order && record.progress() < r.record.progress() {
+		r.record.version, r.stale = record.version, true
+		return true
+	}
 	before := r.step()
-	r.record = record
+	r.record, r.stale = record, false
 	if record.order != r.order.version {
 		return true
 	}
@@ -145,9 +178,10 @@
 }
 
 // Judge decides whether the target version is bad, and rolls it back if so. servers are
-// those of the service that this node knows.
+// those of the service that this node knows. A service without another version cannot be
+// rolled back.
 func (r *Rollout) Judge(now time.Time, servers []Server) (Verdict, bool) {
-	if !r.machine.HasTag(tagJudging) || r.record.order != r.order.version {
+	if !r.machine.HasTag(tagJudging) || r.previous() == "" {
 		return Verdict{}, false
 	}
 	v, bad := r.judge(now, len(r.targets(servers)))
--- a/lib/rollout/rollout_test.go
+++ b/lib/rollout/rollout_test.go
@@ -245,3 +245,39 @@
 	}
 	must.MapEq(t, map[time.Duration]bool{0: true, 150 * time.Millisecond: true, 300 * time.Millisecond: true, 450 * time.Millisecond: true}, turns)
 }
+
+// TestRecord_OfRestoredStoreTakesNothingBack guards against a rollout that begins again, or
+// a completion that is taken back, because the store has an older record or none.
+func TestRecord_OfRestoredStoreTakesNothingBack(t *testing.T) {
+	w := newWorld(t, 1)
+	w.rollout.MergeRecord(w.now, rollout.NewRecord(10, newVersion, oldVersion, rollout.Running, 1, 0).WithVersion(11))
+	w.rollout.MergeRecord(w.now, rollout.NewRecord(10, newVersion, oldVersion, rollout.Complete, 5, 0).WithVersion(12))
+	must.True(t, w.rollout.IsSettled())
+	w.rollout.MergeRecord(w.now, rollout.NewRecord(10, newVersion, oldVersion, rollout.Running, 1, 0).WithVersion(1011))
+	must.True(t, w.rollout.IsComplete())
+	must.False(t, w.rollout.IsSettled())
+	next := w.rollout.Next(w.now, w.servers()).Record()
+	must.Eq(t, rollout.Complete, next.Phase())
+	must.Eq(t, 1011, next.Version())
+	must.True(t, w.rollout.LoseRecord(1020))
+	next = w.rollout.Next(w.now, w.servers()).Record()
+	must.Eq(t, rollout.Complete, next.Phase())
+	must.Eq(t, 0, next.Version())
+	must.False(t, w.rollout.MergeRecord(w.now, rollout.NewRecord(10, newVersion, oldVersion, rollout.Complete, 5, 0).WithVersion(1011)), must.Sprint("a peer that does not know of the loss"))
+	must.True(t, w.rollout.MergeRecord(w.now, next.WithVersion(1021)))
+	must.True(t, w.rollout.IsSettled())
+}
+
+// TestOrder_ForTheVersionInForceIsComplete guards against a service that loses its servers
+// because an order names the version that they have.
+func TestOrder_ForTheVersionInForceIsComplete(t *testing.T) {
+	w := newWorld(t, 1)
+	must.False(t, w.rollout.Adopt(rollout.NewRecord(3, newVersion, oldVersion, rollout.RolledBack, 1, 0).WithVersion(4)))
+	must.True(t, w.rollout.Adopt(rollout.NewRecord(3, newVersion, oldVersion, rollout.Complete, 5, 0).WithVersion(4)))
+	must.Eq(t, []string{newVersion}, w.rollout.Admitted(w.now, ""))
+	must.Eq(t, newVersion, w.rollout.Policy(w.servers(), "").Base())
+	next := w.rollout.Next(w.now, w.servers()).Record()
+	must.Eq(t, rollout.Complete, next.Phase())
+	must.Eq(t, 10, next.Order())
+	must.Eq(t, 4, next.Version())
+}
--- a/savorygap-node/internal/pipeline/rollout_test.go
+++ b/savorygap-node/internal/pipeline/rollout_test.go
@@ -253,3 +253,40 @@
 	must.Less(t, 6*time.Second, time.Since(ordered))
 	l.end()
 }
+
+// TestRollout_StoreThatLosesItsRecordGetsItAgain removes what nodes have written after a
+// rollout is complete, and writes the same order again. It guards against a completion
+// that is forgotten, which would take all servers out of service.
+func TestRollout_StoreThatLosesItsRecordGetsItAgain(t *testing.T) {
+	cl := newCluster(t)
+	caller := cl.addRolloutHost(t, "till", "t1", 0)
+	cl.addRolloutHost(t, "shop", "v1", 0)
+	cl.addRolloutHost(t, "shop", "v2", 0)
+	cl.store.OrderRollout("shop", "v2", 4*time.Second)
+	awaitRollout(t, cl.store, "complete", 6*time.Second)
+	cl.store.RemovePrefix("savorygap/rollout/")
+	cl.store.RemovePrefix("status/")
+	awaitRollout(t, cl.store, "complete", 4*time.Second)
+	must.Eq(t, 1, len(cl.store.Keys("savorygap/rollout/")))
+	cl.store.OrderRollout("shop", "v2", 4*time.Second)
+	for n := range 100 {
+		must.Eq(t, http.StatusOK, caller.mustSend(t, http.MethodGet, "/read/1", fmt.Sprint("id-", n), "").status)
+		time.Sleep(20 * time.Millisecond)
+	}
+	awaitRollout(t, cl.store, "complete", time.Second)
+}
+
+// TestRollout_ToTheVersionInForceInterruptsNothing orders the version that all servers have.
+// It guards against a service that is refused as unproven.
+func TestRollout_ToTheVersionInForceInterruptsNothing(t *testing.T) {
+	cl := newCluster(t)
+	caller := cl.addRolloutHost(t, "till", "t1", 0)
+	cl.addRolloutHost(t, "shop", "v1", 0)
+	cl.addRolloutHost(t, "shop", "v1", 0)
+	cl.store.OrderRollout("shop", "v1", 4*time.Second)
+	for n := range 150 {
+		must.Eq(t, http.StatusOK, caller.mustSend(t, http.MethodGet, "/read/1", fmt.Sprint("id-", n), "").status)
+		time.Sleep(20 * time.Millisecond)
+	}
+	awaitRollout(t, cl.store, "complete", 3*time.Second)
+}
