--- a/lib/dispatch/messages.go
+++ b/lib/dispatch/messages.go
@@ -24,6 +24,7 @@
 	nodeCount   *int
 	stop        *stopTimes
 	suspicions  []quarantine.Record
+	versions    *versionsMessage
 	dump        task.Reply[Dump]
 }
 
@@ -36,6 +37,8 @@
 		m.candidates.reply.Abandon()
 	case m.retry != nil:
 		m.retry.reply.Abandon()
+	case m.versions != nil:
+		m.versions.reply.Abandon()
 	}
 	m.dump.Abandon()
 }
@@ -56,9 +59,11 @@
 	candidates  []candidate
 	// tenant is nil without tenants in the configuration, for an anonymous route and for
 	// a nested call without an API key.
-	tenant *routeconfig.Tenant
-	config *routeconfig.Config
-	nested bool
+	tenant  *routeconfig.Tenant
+	config  *routeconfig.Config
+	nested  bool
+	release string // of the servers to ask, "" for any
+	canary  bool   // whether it is the target of a rollout that still has another version
 }
 
 // candidate is a server to ask for a slot, with the cost factor of its
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -118,6 +118,7 @@
 	ledger            *quarantine.Ledger
 	distances         *distances
 	held              atomic.Pointer[holds]
+	versions          versions
 	nodeCount         int
 	lastRequestNumber atomic.Uint64
 	active            atomic.Int64
@@ -134,6 +135,8 @@
 	cost          float64
 	costUpdatedAt time.Time
 	suspectUntil  time.Time
+	instance      string
+	release       string // version, "" if unknown
 }
 
 type planMessage struct {
@@ -150,6 +153,7 @@
 	service string
 	latency time.Duration
 	exclude []string
+	release string
 	reply   task.Reply[[]candidate]
 }
 
@@ -235,7 +239,7 @@
 		p, err := r.planCall(m.plan.call)
 		m.plan.reply <- planResult{plan: p, err: err}
 	case m.candidates != nil:
-		m.candidates.reply <- r.candidates(m.candidates.service, m.candidates.latency, m.candidates.exclude)
+		m.candidates.reply <- r.candidates(m.candidates.service, m.candidates.latency, m.candidates.exclude, m.candidates.release)
 	case m.retry != nil:
 		m.retry.reply <- r.spendRetry(m.retry.service)
 	case m.observation != nil:
@@ -257,6 +261,8 @@
 		r.nodeCount = *m.nodeCount
 	case m.stop != nil:
 		r.setStop(m.stop)
+	case m.versions != nil:
+		r.handleVersions(m.versions)
 	case m.suspicions != nil:
 		r.applySuspicions(m.suspicions)
 	case m.dump != nil:
@@ -307,10 +313,13 @@
 	}
 	service := r.selectors[key].next(route.Services())
 	r.budget(service).deposit(r.clock.Now(), r.config.retryLimits, r.nodeCount, 1)
-	return plan{
-		route: route, service: service, version: r.snapshot.Version(), meanLatency: r.meanLatencies[key], candidates: r.candidates(service, r.meanLatencies[key], nil),
+	p := plan{
+		route: route, service: service, version: r.snapshot.Version(), meanLatency: r.meanLatencies[key],
 		tenant: tenant, config: config, nested: nested,
-	}, nil
+	}
+	p.release, p.canary = r.chooseRelease(service)
+	p.candidates = r.candidates(service, p.meanLatency, nil, p.release)
+	return p, nil
 }
 
 // routeKey identifies a route across versions of the configuration.
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -46,7 +46,8 @@
 	slownessAtStart float64
 	generation      uint64
 	notified        bool
-	tenant          string
+	slot            upstream.SlotRequest
+	judged          bool
 }
 
 func (p *Proxy) handleReserve(m *reserveMessage) {
@@ -54,6 +55,10 @@
 		m.reply(upstream.NewEvent(upstream.Refused, m.key.Number()).WithReason(p.refusalReason(m.request)))
 		return
 	}
+	if reason := p.versionRefusal(m.request); reason != "" {
+		m.reply(upstream.NewEvent(upstream.Refused, m.key.Number()).WithReason(reason))
+		return
+	}
 	now := p.clock.Now()
 	pending := newPendingRequest(now, m)
 	if p.outlivesProcess(now, pending) {
@@ -138,7 +143,7 @@
 	}
 	requestCtx, cancel := context.WithDeadline(ctx, m.request.Deadline())
 	p.inFlight.Add(1)
-	p.forwarded[m.key] = &forwardedRequest{request: m.request, cancel: cancel, started: now, slownessAtStart: p.slotLimiter.Slowness(), generation: p.generation, tenant: pending.request.Tenant()}
+	p.forwarded[m.key] = &forwardedRequest{request: m.request, cancel: cancel, started: now, slownessAtStart: p.slotLimiter.Slowness(), generation: p.generation, slot: pending.request}
 	p.stated.requests++
 	p.publishRunning()
 	p.countRun(now, pending.request)
@@ -196,6 +201,7 @@
 	if a, ok := m.result.Advisory(); ok {
 		p.handleAdvisory(now, r.started, sourceRequest, r.generation, a)
 	}
+	p.judgeFinished(now, r, m.result)
 	p.recordResult(now, m.result, now.Sub(r.started), cancelled)
 	if isLost(m.result) && r.generation == p.generation {
 		p.recordLoss(now, r.request)
@@ -287,8 +293,8 @@
 		"request", r.request.ID(), "outcome", outcome, "took_ms", now.Sub(r.started).Milliseconds(),
 		"instance", p.instance, "in_use", p.slotLimiter.InUse(), "slots", p.slotLimiter.Slots(), "slowness", p.slotLimiter.Slowness(),
 	}
-	if r.tenant != "" {
-		fields = append(fields, "tenant", r.tenant)
+	if r.slot.Tenant() != "" {
+		fields = append(fields, "tenant", r.slot.Tenant())
 	}
 	if result.Response() != nil {
 		fields = append(fields, "status", result.Response().Status())
--- a/savorygap-node/internal/pipeline/pipeline.go
+++ b/savorygap-node/internal/pipeline/pipeline.go
@@ -20,6 +20,7 @@
 	"savorygap.example/savorygap-node/internal/logs"
 	"savorygap.example/savorygap-node/internal/process"
 	"savorygap.example/savorygap-node/internal/quotas"
+	"savorygap.example/savorygap-node/internal/rollouts"
 	"savorygap.example/savorygap-node/internal/routing"
 	"savorygap.example/savorygap-node/internal/servers"
 	"savorygap.example/savorygap-node/internal/settings"
@@ -40,6 +41,7 @@
 		{storage.String, storage.Default, storage.Run},
 		{routing.String, routing.Default, routing.Run},
 		{quotas.String, quotas.Default, quotas.Run},
+		{rollouts.String, rollouts.Default, rollouts.Run},
 		{servers.String, servers.Default, servers.Run},
 		{callers.String, callers.Default, callers.Run},
 		{links.String, links.Default, links.Run},
--- a/savorygap-node/internal/process/process.go
+++ b/savorygap-node/internal/process/process.go
@@ -25,6 +25,7 @@
 	"savorygap.example/lib/frontend"
 	"savorygap.example/lib/quota/controller"
 	"savorygap.example/lib/registry"
+	"savorygap.example/lib/rollout/control"
 	"savorygap.example/lib/serverproxy"
 	"savorygap.example/lib/upstream"
 	"savorygap.example/savorygap-node/internal/metrics"
@@ -52,6 +53,7 @@
 	serverProxy       *serverproxy.Proxy
 	fleet             *fleet.Fleet
 	quotas            *controller.Controller
+	rollouts          *control.Controller // nil unless rollouts are followed
 	frontend          *frontend.Frontend
 	callerListener    net.Listener
 	machine           *chart.Machine
@@ -145,6 +147,12 @@
 // SetQuotas sets the task that applies the limits of tenants.
 func (p *Process) SetQuotas(c *controller.Controller) { p.quotas = c }
 
+// Rollouts returns the task that follows rollouts, or nil if they are not followed.
+func (p *Process) Rollouts() *control.Controller { return p.rollouts }
+
+// SetRollouts sets the task that follows rollouts.
+func (p *Process) SetRollouts(c *control.Controller) { p.rollouts = c }
+
 // SetFrontend sets the front end that serves callers, and its listener.
 func (p *Process) SetFrontend(f *frontend.Frontend, listener net.Listener) {
 	p.frontend, p.callerListener = f, listener
--- a/savorygap-node/internal/servers/servers.go
+++ b/savorygap-node/internal/servers/servers.go
@@ -14,6 +14,7 @@
 	"savorygap.example/lib/upstream"
 	"savorygap.example/platform"
 	"savorygap.example/savorygap-node/internal/process"
+	"savorygap.example/savorygap-node/internal/rollouts"
 	"savorygap.example/savorygap-node/internal/settings"
 )
 
@@ -35,6 +36,7 @@
 func Run(p *process.Process) error {
 	t := p.Settings()
 	config := serverproxy.NewConfig(t.Host(), t.Service(), t.Server(), t.DataCentre(), platform.HeaderNames(), p.ResponseMemory()).WithQuarantine(p.Router().HeldFor).WithNesting(platform.IsNestedIn)
+	config = rollouts.Configure(p, config)
 	if t.DownstreamAdmission() {
 		config = config.WithDownstream(platform.IsNestedIn)
 	}
@@ -42,8 +44,13 @@
 		WithAllowance(p.Metrics().SetAllowance)
 	var endpoint *upstream.Endpoint
 	onStateChange := func(s serverproxy.ServerState) {
+		rollouts.SetLocalServer(p, s)
 		p.Router().SetLocalServer(s.Service(), s.Accepting(), endpoint)
-		p.Fleet().SetServerState(link.NewServerState(s.Service(), s.Instance(), s.Accepting()))
+		state := link.NewServerState(s.Service(), s.Instance(), s.Accepting())
+		if t.FollowsRollouts() {
+			state = state.WithRelease(s.Release())
+		}
+		p.Fleet().SetServerState(state)
 	}
 	leaving := task.NewLatest[departure]()
 	onLeaving := func(instance string, startedAt int64) {
--- a/savorygap-node/internal/settings/settings.go
+++ b/savorygap-node/internal/settings/settings.go
@@ -36,6 +36,8 @@
 	DataCentres fileDataCentres `yaml:"dataCentres"`
 	Quota       *fileQuota      `yaml:"quota,omitempty"`
 	Admission   fileAdmission   `yaml:"admission"`
+
+	Rollout *fileRollout `yaml:"rollout,omitempty"`
 }
 
 type fileListen struct {
