--- /dev/null
+++ b/lib/quota/faults_test.go
@@ -0,0 +1,96 @@
+package quota_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"savorygap.example/lib/quota"
+)
+
+// flood returns a fleet on which a large tenant sends 7 times its usual demand until the
+// given time.
+func flood(seed uint64, until time.Duration) *fleetSim {
+	s := newFleet(seed, mesh, large)
+	s.load("large", floodFactor*largeRate*usualShare, time.Second, until, evenly)
+	return s
+}
+
+func mustStayWithinTheBound(t *testing.T, s *fleetSim, l quota.Limit) {
+	t.Helper()
+	most, at := busiest(s.sent[l.Tenant()], 0, s.now)
+	t.Logf("most %d of %.0f at %v", most, bounds.Allowed(l), at)
+	must.LessEq(t, int(bounds.Allowed(l)), most)
+}
+
+// TestFleetSplitInTwo_EachHalfGrantsItsPart guards against an owner in each half that
+// grants the whole limit.
+func TestFleetSplitInTwo_EachHalfGrantsItsPart(t *testing.T) {
+	for seed := range uint64(3) {
+		s := flood(seed, 30*time.Second)
+		s.run(4 * time.Second)
+		s.split()
+		s.run(30 * time.Second)
+		mustStayWithinTheBound(t, s, large)
+		// The halves are to use the limit, once they know of the split.
+		must.GreaterEq(t, int(fairShare*largeRate*bounds.Window().Seconds()*2), within(s.sent["large"], 15*time.Second, 25*time.Second))
+	}
+}
+
+// TestOwnersKilledOneAfterAnother_StaysWithinTheBound guards against owners that begin
+// with a full bucket, and against restarted ones that count as those of a new day.
+func TestOwnersKilledOneAfterAnother_StaysWithinTheBound(t *testing.T) {
+	for seed := range uint64(3) {
+		s := flood(seed, 25*time.Second)
+		for at := 3 * time.Second; at < 24*time.Second; at += 600 * time.Millisecond {
+			s.run(at)
+			s.kill(s.owner("large"), 900*time.Millisecond)
+		}
+		s.run(25 * time.Second)
+		mustStayWithinTheBound(t, s, large)
+	}
+}
+
+// TestCallersThatMove_UnusedCreditsLapse guards against credits that pile up at nodes that
+// callers have left, and are all used when the callers come back.
+func TestCallersThatMove_UnusedCreditsLapse(t *testing.T) {
+	const stay, back = 300 * time.Millisecond, 21 * time.Second
+	s := newFleet(1, mesh, large)
+	for i := range mesh {
+		from := time.Duration(i) * stay
+		s.load("large", largeRate*usualShare, from, from+stay, func(node int) float64 {
+			if node == i {
+				return 1
+			}
+			return 0
+		})
+	}
+	s.load("large", floodFactor*largeRate*usualShare, back, back+floodPeriod, evenly)
+	s.run(back + floodPeriod)
+	mustStayWithinTheBound(t, s, large)
+}
+
+// TestLoweredLimit_CreditsAreDropped guards against credits of the old limit that are used
+// under the new one.
+func TestLoweredLimit_CreditsAreDropped(t *testing.T) {
+	var asked quota.Question
+	now := time.Unix(1e9, 0)
+	n := quota.NewNode(now, "self", bounds, func(_ string, q quota.Question) bool {
+		asked = q
+		return true
+	}, func(uint64, quota.Verdict) {}, quota.NewObserver(func(quota.Source, int) {}, func(string, quota.Verdict) {}, func(int) {}))
+	tenant, v := "a", quota.NewView("self", []string{"other"}, 2, false)
+	for v.Owner(tenant) != "other" {
+		tenant += "a"
+	}
+	n.SetView(now, v)
+	account := n.Configure(now, []quota.Limit{quota.NewLimit(tenant, 100, 100)})[tenant]
+	n.Request(now, tenant, 1)
+	n.HandleAnswer(now, quota.NewAnswer(asked.Number(), 10, 0, true))
+	_, ok := account.Take(now)
+	must.True(t, ok)
+	must.Eq(t, account, n.Configure(now, []quota.Limit{quota.NewLimit(tenant, 50, 50)})[tenant])
+	_, ok = account.Take(now)
+	must.False(t, ok)
+}
--- a/lib/quota/incidents_test.go
+++ b/lib/quota/incidents_test.go
@@ -6,6 +6,10 @@
 	"savorygap.example/lib/quota"
 )
 
+// idleLinks is the share of links that carry no request, so that only a ping shows that
+// the peer is cut off.
+const idleLinks = 0.3
+
 // isolate cuts a node off from all others for a while. Each node notices at another
 // time.
 func (s *fleetSim) isolate(n *simNode, d time.Duration) {
@@ -16,7 +20,11 @@
 			continue
 		}
 		for _, pair := range [][2]*simNode{{n, other}, {other, n}} {
-			s.after(s.between(time.Second, 2500*time.Millisecond), func() {
+			notice := s.between(time.Second, 2500*time.Millisecond)
+			if s.rand.Float64() < idleLinks {
+				notice = s.between(time.Second, 6*time.Second)
+			}
+			s.after(notice, func() {
 				if n.cut && s.now-cutAt < d {
 					pair[0].setLinked(pair[1], false)
 				}
@@ -33,6 +41,37 @@
 	})
 }
 
+// split divides the fleet into two halves that do not reach each other.
+func (s *fleetSim) split() {
+	for i, n := range s.nodes {
+		n.side = i % 2
+	}
+	for _, a := range s.nodes {
+		for _, b := range s.nodes {
+			if a.side != b.side {
+				s.after(s.between(time.Second, 2500*time.Millisecond), func() { a.setLinked(b, false) })
+			}
+		}
+	}
+}
+
+// owner returns the node that owns a tenant in a view of all nodes that run.
+func (s *fleetSim) owner(tenant string) *simNode {
+	var names []string
+	for _, n := range s.nodes {
+		if n.alive {
+			names = append(names, n.name)
+		}
+	}
+	v := quota.NewView("", names, len(names), true)
+	for _, n := range s.nodes {
+		if n.name == v.Owner(tenant) {
+			return n
+		}
+	}
+	return nil
+}
+
 // link links two nodes after a while, if both run and none is cut off.
 func (s *fleetSim) link(a, b *simNode, delay time.Duration) {
 	s.after(delay, func() {
--- a/lib/quota/load_test.go
+++ b/lib/quota/load_test.go
@@ -82,6 +82,24 @@
 	}
 }
 
+// TestOwnersWithoutProcessorTime_UsualDemandIsServed guards against refusals since an
+// answer takes longer than the time after which the fallback is used.
+func TestOwnersWithoutProcessorTime_UsualDemandIsServed(t *testing.T) {
+	for _, l := range []quota.Limit{large, small} {
+		sent, refused := 0, 0
+		for seed := range uint64(5) {
+			s := newFleet(seed, mesh, l)
+			s.stalls = 0.3
+			s.load(l.Tenant(), l.Rate()*usualShare, 0, 20*time.Second, evenly)
+			s.run(22 * time.Second)
+			sent += len(s.sent[l.Tenant()])
+			refused += len(s.refused[l.Tenant()])
+		}
+		t.Logf("%s: sent %d, refused %d", l.Tenant(), sent, refused)
+		must.LessEq(t, (1-fairShare)*float64(sent+refused), float64(refused))
+	}
+}
+
 // TestThirdOfTheNodesCutOffDuringAFlood_StaysWithinTheBound guards against fallbacks that
 // grant in addition to what the owner grants to the rest.
 func TestThirdOfTheNodesCutOffDuringAFlood_StaysWithinTheBound(t *testing.T) {
--- a/lib/quota/property_test.go
+++ b/lib/quota/property_test.go
@@ -22,6 +22,7 @@
 	s = newFleet(rapid.Uint64().Draw(t, "seed"), size, l)
 	s.slotLost = rapid.SampledFrom([]float64{0, 0.05, 0.4}).Draw(t, "slotLost")
 	s.lossRate = rapid.SampledFrom([]float64{0, 0.001, 0.02}).Draw(t, "lossRate")
+	s.stalls = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "stalls")
 	weight := evenly
 	if rapid.Bool().Draw(t, "uneven") {
 		weight = skewed
--- a/lib/quota/sim_test.go
+++ b/lib/quota/sim_test.go
@@ -14,6 +14,8 @@
 	oneWay      = 500 * time.Microsecond // between data centres
 	viewDelay   = 20 * time.Millisecond  // from a change of a link to the new view
 	floodPeriod = 6 * time.Second
+	// maxStall is how long a process with 0.16 of a core waits for processor time, at most.
+	maxStall = 84 * time.Millisecond
 )
 
 // bounds are those of the deployment with tenants.
@@ -42,7 +44,7 @@
 }
 
 // fleetSim runs the nodes of a fleet in virtual time. Messages take oneWay, more if
-// paused, and are lost while one end is cut off.
+// the receiver has no processor time, and are lost while one end is cut off.
 type fleetSim struct {
 	rand     *rand.Rand
 	start    time.Time
@@ -58,6 +60,7 @@
 	messages int
 	slotLost float64 // share of admitted requests that find no slot
 	lossRate float64 // share of messages that are lost
+	stalls   float64 // share of messages that reach a process without processor time
 	lastID   uint64
 }
 
@@ -69,6 +72,7 @@
 	limits   []quota.Limit
 	alive    bool
 	cut      bool
+	side     int // of a fleet that is split; messages between two sides are lost
 	stopping bool
 	era      int // rises with each restart
 	linked   map[*simNode]bool
@@ -190,10 +194,14 @@
 func (n *simNode) deliver(to *simNode, do func()) {
 	s := n.sim
 	s.messages++
-	if n.cut || s.rand.Float64() < s.lossRate {
+	if n.cut || n.side != to.side || s.rand.Float64() < s.lossRate {
 		return
 	}
-	s.after(oneWay, to.inEra(func() {
+	delay := oneWay
+	if s.rand.Float64() < s.stalls {
+		delay += s.between(0, maxStall)
+	}
+	s.after(delay, to.inEra(func() {
 		if !to.cut {
 			do()
 		}
--- a/savorygap-node/internal/pipeline/quota_test.go
+++ b/savorygap-node/internal/pipeline/quota_test.go
@@ -170,6 +170,7 @@
 		load.send(7*time.Second, choirRate, others...)
 	}()
 	time.Sleep(2 * time.Second)
+	killed.process.Stop() // without a word to its peers
 	killed.kill()
 	time.Sleep(time.Second)
 	killed.start(t)
--- a/savorygap-node/internal/settings/quota.go
+++ b/savorygap-node/internal/settings/quota.go
@@ -1,6 +1,9 @@
 package settings
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // fileQuota is the encoding of the bounds of quotas.
 type fileQuota struct {
@@ -9,8 +12,23 @@
 	Slack     float64       `yaml:"slack"`
 }
 
+// isValid reports whether the bounds are sound, or not set.
+func (q *fileQuota) isValid() bool {
+	return q == nil || q.Window > 0 && q.Overshoot >= 0 && q.Slack >= 0
+}
+
+// QuotaError reports bounds of quotas that cannot be applied.
+type QuotaError struct {
+	path string
+}
+
+// Error implements error.
+func (e *QuotaError) Error() string {
+	return fmt.Sprintf("settings file %q: set quota.window above 0, and quota.overshoot and quota.slack to 0 or more", e.path)
+}
+
 // HasQuotas reports whether the limits of tenants are applied.
-func (t *Tree) HasQuotas() bool { return t.file.Quota != nil && t.file.Quota.Window > 0 }
+func (t *Tree) HasQuotas() bool { return t.file.Quota != nil }
 
 // QuotaBounds returns the window in which requests of a tenant are counted, and the share
 // and the number of requests by which they may exceed its limit.
--- a/savorygap-node/internal/settings/settings.go
+++ b/savorygap-node/internal/settings/settings.go
@@ -105,6 +105,9 @@
 			return nil, &MissingError{path: path, setting: r.name}
 		}
 	}
+	if !t.file.Quota.isValid() {
+		return nil, &QuotaError{path: path}
+	}
 	return t, nil
 }
 
--- a/savorygap-node/internal/settings/settings_test.go
+++ b/savorygap-node/internal/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 
@@ -45,6 +46,26 @@
 	must.Eq(t, "ip", missing.Setting())
 }
 
+// TestRead_QuotasAreOffUnlessSet guards against limits that apply in a deployment that does
+// not ask for them, and against bounds that would refuse everything.
+func TestRead_QuotasAreOffUnlessSet(t *testing.T) {
+	tree, err := read(t, complete)
+	must.NoError(t, err)
+	must.False(t, tree.HasQuotas())
+	tree, err = read(t, complete+"quota:\n  window: 5s\n  overshoot: 0.1\n  slack: 20\n")
+	must.NoError(t, err)
+	must.True(t, tree.HasQuotas())
+	window, overshoot, slack := tree.QuotaBounds()
+	must.Eq(t, 5*time.Second, window)
+	must.Eq(t, 0.1, overshoot)
+	must.Eq(t, 20.0, slack)
+	for _, text := range []string{"{overshoot: 0.1}", "{window: -5s}", "{window: 5s, slack: -1}", "{window: 5s, overshoot: -0.1}"} {
+		_, err = read(t, complete+"quota: "+text+"\n")
+		var invalid *settings.QuotaError
+		must.True(t, errors.As(err, &invalid), must.Sprint(text))
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add(complete)
 	f.Add("host: [")
