--- a/lib/routeconfig/tenant.go
+++ b/lib/routeconfig/tenant.go
@@ -59,16 +59,6 @@
 	return &copied
 }
 
-// TenantWeight returns the share of scarce capacity that the named tenant is due, relative
-// to those of other tenants: its rate, or the mean rate for one without a rate and for
-// requests without a tenant. It is 0 if no tenant has a rate.
-func (c *Config) TenantWeight(name string) float64 {
-	if rate, ok := c.rates[name]; ok {
-		return rate
-	}
-	return c.meanRate
-}
-
 // Tenants returns the tenants that have an API key, in no particular order.
 func (c *Config) Tenants() []*Tenant {
 	seen := make(map[*Tenant]bool, len(c.tenants))
@@ -82,6 +72,16 @@
 	return list
 }
 
+// TenantWeight returns the share of scarce capacity that the named tenant is due, relative
+// to those of other tenants: its rate, or the mean rate for one without a rate and for
+// requests without a tenant. It is 0 if no tenant has a rate.
+func (c *Config) TenantWeight(name string) float64 {
+	if rate, ok := c.rates[name]; ok {
+		return rate
+	}
+	return c.meanRate
+}
+
 // HasTenants reports whether requests need an API key, unless their route is anonymous.
 func (c *Config) HasTenants() bool { return c.hasTenants }
 
