store: follow a store that was restored to an older state

Cause: after a restore the store gives the same revisions to other changes. Nodes compared revisions only. They ignored a configuration that operators wrote again, ended an evacuation that the copy did not list, and did not write lost entries and departures again.

Change: platform/store.go forms versions from the header Store-Era and the revision, discards replies of an older era, and reports a rise as registry.EraChangedError. The chart "store" holds evacuations of the older era for 15 s. The node that reads a new era has missing entries and departures written again, keeps the members that the copy lacks and calls the hook fleet.Hooks.WithEraChanged. A configuration with a lower number of the operators does not replace a higher one; nodes announce the number, so that a node that starts meanwhile fetches the newer one.

--- a/lib/chart/chart_test.go
+++ b/lib/chart/chart_test.go
@@ -17,7 +17,7 @@
 func TestEmbeddedChartsAreValid(t *testing.T) {
 	set, err := chart.Embedded()
 	must.NoError(t, err)
-	must.SliceContainsAll(t, set.Names(), []string{"request", "server", "member", "place", "configuration", "datacentre", "process", "quarantine"})
+	must.SliceContainsAll(t, set.Names(), []string{"request", "server", "member", "place", "configuration", "datacentre", "process", "quarantine", "store"})
 }
 
 func TestParseRejectsInvalidCharts(t *testing.T) {
--- a/lib/fleet/dial.go
+++ b/lib/fleet/dial.go
@@ -50,8 +50,10 @@
 	return true
 }
 
-// tick dials the members without a link and removes unreachable ones.
+// tick dials the members without a link and removes unreachable ones. It also ends what
+// is held after a restore of the store.
 func (f *Fleet) tick(ctx context.Context) {
+	f.followEra()
 	if f.dialStopped {
 		return
 	}
--- a/lib/fleet/fetch.go
+++ b/lib/fleet/fetch.go
@@ -115,5 +115,5 @@
 }
 
 func (f *Fleet) handleSnapshot(m *snapshotMessage) {
-	f.mergeChange(snapshotChange{version: m.snapshot.Version(), compressed: m.snapshot.Compressed(), evacuations: m.snapshot.Evacuations(), source: m.link.Peer()})
+	f.mergeChange(snapshotChange{version: m.snapshot.Version(), compressed: m.snapshot.Compressed(), evacuations: m.snapshot.Evacuations(), source: m.link.Peer(), fromPeer: true})
 }
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -102,6 +102,7 @@
 	watch        func(peer string, started bool)
 	entryLost    func()
 	removeMember func(registry.Record)
+	eraChanged   func(eraStart uint64)
 	suspicions   func([]quarantine.Record)
 	heldRequests func() []quarantine.Record
 }
@@ -122,7 +123,7 @@
 //     removed from the store.
 func NewHooks(decode func([]byte) (*routeconfig.Config, error), snapshot func(Snapshot), peers func([]Peer), nodes func(int), departures func(records []registry.Record, stored bool), register func(entry registry.Record, exists bool), watch func(peer string, started bool), entryLost func(), removeMember func(registry.Record)) Hooks {
 	return Hooks{decode: decode, snapshot: snapshot, peers: peers, nodes: nodes, departures: departures, register: register, watch: watch, entryLost: entryLost, removeMember: removeMember,
-		suspicions: func([]quarantine.Record) {}, heldRequests: func() []quarantine.Record { return nil }}
+		eraChanged: func(uint64) {}, suspicions: func([]quarantine.Record) {}, heldRequests: func() []quarantine.Record { return nil }}
 }
 
 // WithQuarantine returns the hooks with a function that receives, from the task of a link,
@@ -144,6 +145,7 @@
 	inbox          *task.Inbox[message]
 	serverStates   *task.Latest[link.ServerState]
 	machine        *chart.Machine
+	storeMachine   *chart.Machine
 	snapshot       Snapshot
 	announced      link.Versions // the newest versions that peers announced
 	sources        []*link.Link  // links to peers that announced a version newer than the one in force
@@ -155,6 +157,8 @@
 	departures     map[string]registry.Record // by node
 	removals       map[string]uint64          // versions at which members were removed, by node
 	readVersion    uint64                     // of the last full read of the store
+	eraStart       uint64                     // lowest version of the era of that read
+	holdUntil      time.Time                  // end of the hold of evacuations of an older era
 	dialStates     map[string]*dialState      // by node
 	links          map[uint64]*peerLink       // by link id
 	lastLinkID     uint64
@@ -227,6 +231,9 @@
 		return nil, err
 	}
 	f.watchShare.Store(math.Float64bits(1))
+	if f.storeMachine, err = f.newStoreMachine(charts); err != nil {
+		return nil, err
+	}
 	f.machine, err = configuration.NewMachine(chart.Actions{"publish": f.publish, "fetch": func() {}})
 	return f, err
 }
--- a/lib/fleet/links.go
+++ b/lib/fleet/links.go
@@ -149,9 +149,14 @@
 	p.hello, p.serverState, p.helloReceived = h, h.ServerState(), true
 	f.log.Write("link-up", "peer", h.Node(), "address", h.Address(), "service", h.ServerState().Service(), "open", h.ServerState().Accepting(), "version", h.Versions().Configuration(), "evacuation", h.Versions().Evacuation())
 	f.learnMember(h)
-	if d, ok := f.departures[h.Node()]; ok {
-		p.link.SendDepartures([]registry.Record{d})
+	// The departure of this node is sent too, so that any peer can tell whether the store
+	// has lost it.
+	for _, node := range []string{h.Node(), f.self.node} {
+		if d, ok := f.departures[node]; ok {
+			p.link.SendDepartures([]registry.Record{d})
+		}
 	}
+	f.greetAfterRestore(p)
 	if held := f.hooks.heldRequests(); len(held) > 0 {
 		p.link.SendSuspicions(held)
 	}
--- a/lib/fleet/member.go
+++ b/lib/fleet/member.go
@@ -128,5 +128,9 @@
 	for _, e := range s.evacuations {
 		newest = max(newest, e.Version())
 	}
-	return link.NewVersions(s.version, newest)
+	versions := link.NewVersions(s.version, newest)
+	if s.config != nil {
+		versions = versions.WithOperators(s.config.Version())
+	}
+	return versions
 }
--- a/lib/fleet/update.go
+++ b/lib/fleet/update.go
@@ -17,10 +17,11 @@
 	compressed  []byte
 	evacuations []link.Evacuation
 	source      string
+	fromPeer    bool
 }
 
 // hasText reports whether the change contains the operators' text.
-func (c snapshotChange) hasText() bool { return c.text != nil || c.compressed != nil }
+func (c snapshotChange) hasText() bool { return c.text != nil || len(c.compressed) > 0 }
 
 // decompressed returns the operators' text in plain form.
 func (c snapshotChange) decompressed() ([]byte, error) {
@@ -33,9 +34,10 @@
 // applyUpdate applies records read from the store: members, the configuration,
 // evacuations and departures.
 func (f *Fleet) applyUpdate(ctx context.Context, u registry.Update) {
-	change := snapshotChange{source: "store"}
+	change, restored := snapshotChange{source: "store"}, false
 	if u.Full() {
-		f.members, f.removals, f.readVersion = map[string]Member{}, map[string]uint64{}, u.Version()
+		restored = f.enterEra(u)
+		f.members, f.removals, f.readVersion = f.membersAfter(restored), map[string]uint64{}, u.Version()
 		change.evacuations = f.endedEvacuations(u)
 	}
 	var departures, members []registry.Record
@@ -68,9 +70,12 @@
 		f.hooks.departures(departures, true)
 	}
 	f.mergeChange(change)
-	if u.Full() {
+	switch {
+	case restored:
+		f.requestRewrites(departures)
+	case u.Full():
 		f.notifyUnlisted()
-	} else if len(members) > 0 {
+	case len(members) > 0:
 		f.forwardMembers(members)
 	}
 	if !f.registered && u.Full() {
@@ -83,7 +88,7 @@
 
 // endedEvacuations returns the end of each active evacuation that a full read does
 // not list. The read does not tell when it was removed, so its end gets the version
-// of the read.
+// of the read. An evacuation of an older era of the store may not have been removed.
 func (f *Fleet) endedEvacuations(u registry.Update) []link.Evacuation {
 	listed := map[string]bool{}
 	for _, r := range u.Records() {
@@ -93,7 +98,7 @@
 	}
 	var ended []link.Evacuation
 	for name, e := range f.snapshot.evacuations {
-		if e.Active() && !listed[name] {
+		if e.Active() && !listed[name] && e.Version() >= u.EraStart() {
 			ended = append(ended, link.NewEvacuation(name, u.Version(), false))
 		}
 	}
@@ -194,10 +199,14 @@
 }
 
 // handleDepartures keeps the departures that a peer knows of. Those of this node were
-// acknowledged by an earlier process.
+// acknowledged by an earlier process, or the store has lost them.
 func (f *Fleet) handleDepartures(records []registry.Record) {
 	f.keepDepartures(records)
-	f.hooks.departures(records, false)
+	newest := make([]registry.Record, 0, len(records))
+	for _, r := range records {
+		newest = append(newest, f.departures[r.Name()])
+	}
+	f.hooks.departures(newest, false)
 }
 
 // handleMembers applies changes to member entries that a peer read from the store.
@@ -254,10 +263,14 @@
 			changed = true
 		}
 	}
-	if c.hasText() && c.version > next.version {
-		if decoded, err := f.decode(c); err != nil {
+	if f.mayReplaceText(c) {
+		decoded, err := f.decode(c)
+		switch {
+		case err != nil:
 			f.log.Write("configuration-unreadable", "version", c.version, "source", c.source, "error", err.Error())
-		} else {
+		case !f.isNewerText(c, decoded.Version()):
+			f.log.Write("configuration-outdated", "version", c.version, "operators", decoded.Version(), "in_force", next.version, "operators_in_force", next.config.Version(), "source", c.source)
+		default:
 			next.version, next.text, next.compressed, next.config = c.version, c.text, c.compressed, decoded
 			changed = true
 		}
--- a/lib/link/codec.go
+++ b/lib/link/codec.go
@@ -129,7 +129,7 @@
 	switch {
 	case m.hello != nil:
 		h := m.hello
-		return encodeServerState(newEncoder(typeHello, 160).text(1, h.node).text(2, h.address).text(3, h.dataCentre).varint(4, h.versions.configuration).varint(5, h.versions.evacuation).float(6, h.bandwidth), h.serverState).frame()
+		return encodeServerState(newEncoder(typeHello, 160).text(1, h.node).text(2, h.address).text(3, h.dataCentre).varint(4, h.versions.configuration).varint(5, h.versions.evacuation).float(6, h.bandwidth).varint(15, h.versions.operators), h.serverState).frame()
 	case m.slotRequest != nil:
 		r := m.slotRequest.slotRequest
 		return newEncoder(typeSlotRequest, 96).varint(1, m.slotRequest.number).text(2, r.Service()).varint(3, uint64(max(r.Priority(), 0))).
@@ -154,7 +154,7 @@
 	case m.serverState != nil:
 		return encodeServerState(newEncoder(typeServerState, 64), *m.serverState).frame()
 	case m.versions != nil:
-		return newEncoder(typeVersions, 24).varint(1, m.versions.configuration).varint(2, m.versions.evacuation).frame()
+		return newEncoder(typeVersions, 36).varint(1, m.versions.configuration).varint(2, m.versions.evacuation).varint(3, m.versions.operators).frame()
 	case m.signal != noSignal:
 		return newEncoder(typeSignal, 8).varint(1, uint64(m.signal)).frame()
 	case m.members != nil:
--- a/lib/link/decode.go
+++ b/lib/link/decode.go
@@ -98,7 +98,7 @@
 	number := f.numbers[1]
 	switch frameType {
 	case typeHello:
-		return Message{hello: &Hello{node: f.text(1), address: f.text(2), dataCentre: f.text(3), versions: NewVersions(f.numbers[4], f.numbers[5]), bandwidth: math.Float64frombits(f.numbers[6]), serverState: f.serverState()}}, true, nil
+		return Message{hello: &Hello{node: f.text(1), address: f.text(2), dataCentre: f.text(3), versions: NewVersions(f.numbers[4], f.numbers[5]).WithOperators(f.numbers[15]), bandwidth: math.Float64frombits(f.numbers[6]), serverState: f.serverState()}}, true, nil
 	case typeSlotRequest:
 		r := upstream.NewSlotRequest(f.text(2), f.count(3)).WithNested(f.numbers[4] != 0).WithMaxWait(f.duration(5)).WithRequestID(f.text(6)).WithSlowdownNotice(f.numbers[7] != 0).
 			WithMaxSlowness(math.Float64frombits(f.numbers[8])).WithTimes(f.duration(9), f.duration(10)).WithTenant(f.text(11)).WithRoute(f.text(12))
@@ -124,7 +124,7 @@
 		s := f.serverState()
 		return Message{serverState: &s}, true, nil
 	case typeVersions:
-		versions := NewVersions(f.numbers[1], f.numbers[2])
+		versions := NewVersions(f.numbers[1], f.numbers[2]).WithOperators(f.numbers[3])
 		return Message{versions: &versions}, true, nil
 	case typeSignal:
 		return decodeSignal(number)
--- a/lib/link/message.go
+++ b/lib/link/message.go
@@ -54,6 +54,7 @@
 type Versions struct {
 	configuration uint64
 	evacuation    uint64
+	operators     uint64
 }
 
 // NewVersions returns versions of the configuration and of the evacuations.
@@ -67,9 +68,25 @@
 // Evacuation returns the version of the newest change to the evacuations.
 func (v Versions) Evacuation() uint64 { return v.evacuation }
 
-// HasNewerThan reports whether either version is higher than that of other.
+// WithOperators returns the versions with the operators' own version of the
+// configuration, 0 if unknown.
+func (v Versions) WithOperators(version uint64) Versions {
+	v.operators = version
+	return v
+}
+
+// HasNewerThan reports whether the configuration or the evacuations are newer than
+// those of other. Operators number their configurations: a higher number is newer at any
+// version of the store, which may have been restored to an older state.
 func (v Versions) HasNewerThan(other Versions) bool {
-	return v.configuration > other.configuration || v.evacuation > other.evacuation
+	return v.hasNewerConfiguration(other) || v.evacuation > other.evacuation
+}
+
+func (v Versions) hasNewerConfiguration(other Versions) bool {
+	if v.operators != other.operators && v.operators != 0 && other.operators != 0 {
+		return v.operators > other.operators
+	}
+	return v.configuration > other.configuration
 }
 
 // ServerState is the state of the server on a node's host.
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -112,6 +112,8 @@
 	watch  func(ctx context.Context, after uint64, wait time.Duration) ([]Record, uint64, error)
 	put    func(ctx context.Context, r Record) error
 	remove func(ctx context.Context, r Record) error
+	// eraStart returns the lowest version of the era of a version.
+	eraStart func(version uint64) uint64
 }
 
 // NewStore returns a store made of four functions.
@@ -121,7 +123,14 @@
 	put func(context.Context, Record) error,
 	remove func(context.Context, Record) error,
 ) *Store {
-	return &Store{read: read, watch: watch, put: put, remove: remove}
+	return &Store{read: read, watch: watch, put: put, remove: remove, eraStart: func(uint64) uint64 { return 0 }}
+}
+
+// WithEras returns the store with a function that returns the lowest version of the era
+// to which a version belongs. Without it the store has one era.
+func (s *Store) WithEras(eraStart func(version uint64) uint64) *Store {
+	s.eraStart = eraStart
+	return s
 }
 
 // Read returns all records and the version of the store at the read.
@@ -129,7 +138,8 @@
 
 // Watch waits for changes after a version, at most for the time wait. It returns
 // them with the version from which to continue. When the store no longer has them,
-// it returns a *HistoryLostError.
+// it returns a *HistoryLostError, and an *EraChangedError when the store was restored to
+// an older state.
 func (s *Store) Watch(ctx context.Context, after uint64, wait time.Duration) ([]Record, uint64, error) {
 	return s.watch(ctx, after, wait)
 }
--- a/lib/registry/watcher.go
+++ b/lib/registry/watcher.go
@@ -40,9 +40,10 @@
 
 // Update holds what a watcher received: all records, or changes to them.
 type Update struct {
-	records []Record
-	version uint64
-	full    bool
+	records  []Record
+	version  uint64
+	full     bool
+	eraStart uint64
 }
 
 // NewUpdate returns an update as of a version of the store. A full update contains
@@ -88,8 +89,8 @@
 // NewWatcher returns a watcher. share returns the fraction of the fleet's watches
 // that this node should make, above 0 and up to 1. announce tells the peers that a
 // watch has started or ended. update receives records. observeResult receives the
-// error of each call: nil for success, and a *HistoryLostError when changes are no
-// longer available.
+// error of each call: nil for success, a *HistoryLostError when changes are no longer
+// available, and an *EraChangedError when the store was restored to an older state.
 func NewWatcher(store *Store, clock clockwork.Clock, share func() float64, announce func(started bool), update func(Update), observeResult func(error)) *Watcher {
 	return &Watcher{
 		store: store, clock: clock, wakeups: make(chan struct{}, 1), peerWatches: make(chan peerWatch, peerWatchBuffer),
@@ -131,8 +132,7 @@
 	for ctx.Err() == nil {
 		records, next, err := w.call(ctx, version, synced)
 		w.observeResult(err)
-		var lost *HistoryLostError
-		if errors.As(err, &lost) {
+		if mustReadAgain(err) {
 			synced = false
 			continue
 		}
@@ -148,7 +148,7 @@
 		backoff = minRetryDelay
 		first := !synced
 		if first || len(records) > 0 {
-			w.update(Update{records: records, version: next, full: first})
+			w.update(Update{records: records, version: next, full: first, eraStart: w.store.eraStart(next)})
 		}
 		version, synced = max(version, next), true
 		if !first && hasConfiguration(records) {
@@ -160,6 +160,13 @@
 	}
 }
 
+// mustReadAgain reports whether changes cannot be followed from the last version on.
+func mustReadAgain(err error) bool {
+	var lost *HistoryLostError
+	var restored *EraChangedError
+	return errors.As(err, &lost) || errors.As(err, &restored)
+}
+
 func hasConfiguration(records []Record) bool {
 	return slices.ContainsFunc(records, func(r Record) bool { return r.kind == KindConfiguration })
 }
--- a/savorygap-bench/internal/cluster/operators.go
+++ b/savorygap-bench/internal/cluster/operators.go
@@ -10,6 +10,11 @@
 	return version, time.Now()
 }
 
+// RepeatConfiguration writes the current version of the sample configuration again.
+func (c *Cluster) RepeatConfiguration() {
+	c.store.PutConfiguration(c.version.Load(), ColdDuration, ColdRequestRate)
+}
+
 // SetEvacuated takes a data centre out of service or returns it to service. It
 // returns when the store acknowledged the change.
 func (c *Cluster) SetEvacuated(dataCentre string, evacuated bool) (acknowledged time.Time) {
--- a/savorygap-bench/internal/soak/check.go
+++ b/savorygap-bench/internal/soak/check.go
@@ -153,7 +153,7 @@
 		if after, ok := afterDeparture(e, hist); ok && !mayBeDelayed(hist, e) {
 			add(e, "DRAIN", fmt.Sprintf("arrived %s after the drain was acknowledged", after))
 		}
-		if after, ok := duringEvacuation(e, hist); ok && undisturbed(hist, e.Host(), e.StartedAt(), e.StartedAt()) {
+		if after, restored, ok := duringEvacuation(e, hist); ok && (undisturbed(hist, e.Host(), e.StartedAt(), e.StartedAt()) || restored && hostUndisturbed(hist, e.Host(), e.StartedAt())) {
 			add(e, "EVAC", fmt.Sprintf("arrived %s after the evacuation was acknowledged", after))
 		}
 	}
@@ -177,13 +177,16 @@
 	return 0, false
 }
 
-func duringEvacuation(e cluster.Execution, hist history) (time.Duration, bool) {
+// duringEvacuation reports whether an execution began while its data centre had to be out
+// of service, how long after the acknowledgement, and whether the store lost the
+// evacuation meanwhile.
+func duringEvacuation(e cluster.Execution, hist history) (after time.Duration, restored, ok bool) {
 	for _, v := range hist.evacuations {
 		if after := e.StartedAt().Sub(v.from); v.dataCentre == e.Host().DataCentre() && after > maxEvacuationDelay && e.StartedAt().Before(v.to) {
-			return after, true
+			return after, v.restored, true
 		}
 	}
-	return 0, false
+	return 0, false, false
 }
 
 // checkCold checks the request rate of cold servers over every one-second window.
--- a/savorygap-bench/internal/soak/faults.go
+++ b/savorygap-bench/internal/soak/faults.go
@@ -66,6 +66,7 @@
 		{name: "store drops replies", onStore: true, run: dropStoreReplies},
 		{name: "store compacts its history", onStore: true, run: compactStoreHistory},
 		{name: "store loses the entries of the nodes", onStore: true, run: removeNodeEntries},
+		{name: "store is restored to an older state", onStore: true, run: restoreStore},
 		{name: "configuration changes during faults", planned: true, onStore: true, run: configure},
 	}
 }
--- a/savorygap-bench/internal/soak/record.go
+++ b/savorygap-bench/internal/soak/record.go
@@ -25,11 +25,13 @@
 	acknowledged time.Time
 }
 
-// evacuation is the interval in which a data centre was out of service.
+// evacuation is the interval in which a data centre was out of service. restored
+// reports whether the store lost the evacuation meanwhile.
 type evacuation struct {
 	dataCentre string
 	from       time.Time
 	to         time.Time
+	restored   bool
 }
 
 // coldStart is the cold start of a server and when it ended.
--- a/savorygap-bench/internal/soak/soak.go
+++ b/savorygap-bench/internal/soak/soak.go
@@ -49,6 +49,7 @@
 	subnet int
 	rounds int
 	binary string
+	only   string
 }
 
 // NewOptions returns options for a cluster of six hosts.
@@ -74,6 +75,13 @@
 	return o
 }
 
+// WithOnly returns the options with the name of the one fault that is injected; empty for
+// all operations.
+func (o Options) WithOnly(name string) Options {
+	o.only = name
+	return o
+}
+
 // ViolationError reports broken rules of the contract.
 type ViolationError struct {
 	seed       uint64
@@ -123,6 +131,9 @@
 // start starts the cluster and the tasks of a soak and returns a function that stops
 // them.
 func start(ctx context.Context, w io.Writer, o Options) (*run, func(), error) {
+	if o.only != "" && !slices.ContainsFunc(faults(), func(f operation) bool { return f.name == o.only }) {
+		return nil, nil, fmt.Errorf("no fault has the name %q", o.only)
+	}
 	c, err := cluster.Start(ctx, cluster.NewPlan(o.subnet, cluster.SampleHosts(o.rounds)).WithBinary(o.binary))
 	if err != nil {
 		return nil, nil, err
@@ -168,7 +179,9 @@
 // are no longer tolerated.
 func (r *run) runEpisode(ctx context.Context) {
 	choices := faults()
-	if r.rng.Float64() < plannedShare {
+	if r.options.only != "" {
+		choices = slices.DeleteFunc(choices, func(o operation) bool { return o.name != r.options.only })
+	} else if r.rng.Float64() < plannedShare {
 		time.Sleep(settleTime)
 		choices = plannedOperations()
 	}
--- a/savorygap-bench/internal/soak/soak_test.go
+++ b/savorygap-bench/internal/soak/soak_test.go
@@ -38,3 +38,13 @@
 		})
 	}
 }
+
+// TestSoak_RestoredStoreFindsNoViolation guards against requests to an evacuated data
+// centre whose evacuation the restored store lacks, beside all other checks.
+func TestSoak_RestoredStoreFindsNoViolation(t *testing.T) {
+	var out bytes.Buffer
+	o := soak.NewOptions(shortLength, 1).WithSubnet(61).WithOnly("store is restored to an older state")
+	must.NoError(t, soak.Run(context.Background(), &out, o), must.Sprint(out.String()))
+	must.StrContains(t, out.String(), "store is restored to an older state")
+	must.StrContains(t, out.String(), "no violations found")
+}
--- a/savorygap-node/internal/metrics/metrics.go
+++ b/savorygap-node/internal/metrics/metrics.go
@@ -26,6 +26,7 @@
 	retries           *prometheus.CounterVec
 	storeCalls        *prometheus.CounterVec
 	storeSeconds      *prometheus.HistogramVec
+	storeRestores     prometheus.Counter
 	healthChecks      prometheus.Counter
 	serverConnections prometheus.Counter
 }
@@ -43,10 +44,11 @@
 		retries:           prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_retries_total", Help: "Further attempts by service."}, []string{"service"}),
 		storeCalls:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_store_calls_total", Help: "Calls to the platform's store by kind and status, 0 for no answer."}, []string{"call", "status"}),
 		storeSeconds:      prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "savorygap_store_seconds", Help: "Time that calls to the store took.", Buckets: latencyBuckets}, []string{"call"}),
+		storeRestores:     prometheus.NewCounter(prometheus.CounterOpts{Name: "savorygap_store_restores_total", Help: "Times that this node found the platform's store restored to an older state."}),
 		healthChecks:      prometheus.NewCounter(prometheus.CounterOpts{Name: "savorygap_health_checks_total", Help: "Health checks sent to the server on this host."}),
 		serverConnections: prometheus.NewCounter(prometheus.CounterOpts{Name: "savorygap_server_connections_total", Help: "Connections opened to the server on this host."}),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.serverRequests, m.serverSeconds, m.retries, m.storeCalls, m.storeSeconds, m.healthChecks, m.serverConnections)
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.serverRequests, m.serverSeconds, m.retries, m.storeCalls, m.storeSeconds, m.storeRestores, m.healthChecks, m.serverConnections)
 	return m
 }
 
@@ -78,6 +80,9 @@
 	m.storeSeconds.WithLabelValues(call).Observe(took.Seconds())
 }
 
+// CountStoreRestore counts that the store was found restored to an older state.
+func (m *Metrics) CountStoreRestore() { m.storeRestores.Inc() }
+
 // CountHealthCheck counts a health check of the server on this host.
 func (m *Metrics) CountHealthCheck() { m.healthChecks.Inc() }
 
--- a/savorygap-node/internal/storage/storage.go
+++ b/savorygap-node/internal/storage/storage.go
@@ -63,6 +63,12 @@
 }
 
 func (a *availability) observeWatch(err error) {
+	var restored *registry.EraChangedError
+	if errors.As(err, &restored) {
+		a.process.Log().Write("store-restored", "error", err.Error())
+		a.process.Metrics().CountStoreRestore()
+		return
+	}
 	var historyLost *registry.HistoryLostError
 	if errors.As(err, &historyLost) {
 		// The store answered; the watcher reads all records again.
