httpclient,server: what ends with its connection is whole only after the upload

Cause: if a server answers an upload without a length and resets the connection, the kernel reports the reset once, here to the goroutine that writes. The reader saw an ordinary end and took the part for the whole. net/http also takes 000 to 099, 600 to 999, +20 and a space in front of the status.

Change: a response that ends with its connection counts only if the request was written to its end and no read failed; the read error of a connection stays. The same in savorygapd's exchange. lib/statusline refuses other statuses than 100 to 599 before the parser sees them: the outcome is unknown.

--- a/lib/httpclient/body.go
+++ b/lib/httpclient/body.go
@@ -56,10 +56,12 @@
 	return body.Bytes(), nil
 }
 
-// limitedReader reads from a connection until a limit is reached.
+// limitedReader reads from a connection until a limit is reached. After an error it
+// returns that error again: the kernel reports a reset once, and an end afterwards.
 type limitedReader struct {
 	conn      net.Conn
 	remaining int64
+	failure   error
 }
 
 func newLimitedReader(conn net.Conn) *limitedReader {
@@ -76,7 +78,11 @@
 	if l.remaining <= 0 {
 		return 0, &ResponseTooLargeError{part: "header", limit: maxResponseHeader}
 	}
+	if l.failure != nil {
+		return 0, l.failure
+	}
 	n, err := l.conn.Read(b[:min(int64(len(b)), l.remaining)])
 	l.remaining -= int64(n)
+	l.failure = err
 	return n, err
 }
--- a/lib/httpclient/exchange.go
+++ b/lib/httpclient/exchange.go
@@ -13,6 +13,7 @@
 
 	"savorygap.example/lib/headernames"
 	"savorygap.example/lib/headers"
+	"savorygap.example/lib/statusline"
 	"savorygap.example/lib/upstream"
 )
 
@@ -142,6 +143,9 @@
 	result := &Result{instance: response.Header.Get(names.InstanceID())}
 	result.readServerStatus(names, response.Header)
 	body, err := c.readBody(ctx, response)
+	if err == nil {
+		err = checkEnd(ctx, response, sent)
+	}
 	if err != nil {
 		c.Close()
 		result.outcome, result.reason, result.err = Unknown, "the answer broke off", errors.Join(err, ctx.Err())
@@ -236,9 +240,7 @@
 	method := &http.Request{Method: request.Method()}
 	stale := 0
 	for range maxInformational + maxStaleResponses {
-		c.input.limitTo(maxResponseHeader)
-		response, err := http.ReadResponse(c.reader, method)
-		c.input.removeLimit()
+		response, err := c.parseHeader(method)
 		if err != nil {
 			return nil, err
 		}
@@ -259,6 +261,16 @@
 	return nil, errors.New("no final answer among the first ones")
 }
 
+// parseHeader reads one status line and header.
+func (c *Conn) parseHeader(method *http.Request) (*http.Response, error) {
+	c.input.limitTo(maxResponseHeader)
+	defer c.input.removeLimit()
+	if err := statusline.Check(c.reader); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(c.reader, method)
+}
+
 // readServerStatus reads the load report and the cold-start time from the
 // header.
 func (r *Result) readServerStatus(names headernames.Set, header http.Header) {
--- a/lib/server/exchange.go
+++ b/lib/server/exchange.go
@@ -10,6 +10,7 @@
 	"savorygap.example/lib/admission"
 	"savorygap.example/lib/load"
 	"savorygap.example/lib/outcome"
+	"savorygap.example/lib/statusline"
 )
 
 const (
@@ -113,12 +114,15 @@
 
 func (x *Exchange) readHead(request *http.Request) error {
 	for range maxInformationalResponses {
+		if err := statusline.Check(x.conn.reader); err != nil {
+			return err
+		}
 		response, err := http.ReadResponse(x.conn.reader, request)
 		if err != nil {
 			return err
 		}
 		if response.StatusCode >= http.StatusOK {
-			x.response = response
+			x.response = x.withCheckedEnd(response)
 			return nil
 		}
 	}
