hedge: hedged requests within a share that operators set

Cause: hedges followed a multiple of the mean latency and were limited by the retry budget only.

Change: with hedging.share set, lib/hedge decides. The delay is a quantile of the route's latencies of the last 2 to 4 s; the second sends of a service stay within the share of its sends over any interval, but for one; there are none while more than 2 in 100 searches of the last second were short of a slot, nor for a call of a request that is a hedge itself. The retry budget still applies, the slower send is cancelled, and a silent node's request is still sent elsewhere outside of the share. Requests and offers carry a flag each over links (field 14). Without the setting nothing changes; deploy/settings.yaml does not set it.

Not measured on real hosts.

--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -81,6 +81,9 @@
 	retryAfter   time.Duration
 	budgetDenied bool
 	hedgeCause   hedgeCause
+	hedgeTaken   bool
+	hedgeWon     bool
+	hedgeDenied  string
 	// failedResponse is the error response of an earlier attempt, and
 	// uncertainReason the reason why the outcome of an earlier attempt is
 	// unknown. The call ends with them if no further slot is found.
--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -39,6 +39,7 @@
 	p.node, p.cost = o.event.Endpoint().Node(), o.event.Cost()
 	started := p.router.clock.Now()
 	o.event.Endpoint().Submit(o.event.Number(), p.call.request.WithDeadline(p.deadline))
+	p.sendHedging(hedgingMessage{sent: p.plan.service})
 	timer := p.router.clock.NewTimer(p.hedgeDelay())
 	defer timer.Stop()
 	for {
@@ -49,13 +50,13 @@
 			case e.Kind().Final():
 				p.reportLatency(e, started)
 				return e
-			case e.Kind() == upstream.Slowed && p.missesObjective(started, e.Cost()):
+			case e.Kind() == upstream.Slowed && p.missesObjective(started, e.Cost()) && p.takeHedge(ctx):
 				return p.hedge(ctx, o, started, hedgeSlowed)
 			case e.Kind() == upstream.Silent && p.mayHedge():
 				return p.hedge(ctx, o, started, hedgeSilent)
 			}
 		case <-timer.Chan():
-			if p.mayHedge() {
+			if p.mayHedge() && p.takeHedge(ctx) {
 				return p.hedge(ctx, o, started, hedgeLate)
 			}
 		case <-ctx.Done():
@@ -83,6 +84,9 @@
 	if mean == 0 || !p.mayHedge() {
 		return defaultTimeLeft
 	}
+	if p.plan.hedgesLimited {
+		return p.plan.hedgeAfter
+	}
 	return max(time.Duration(hedgeLatencyFactor*float64(mean)), time.Duration(hedgeObjectiveShare*float64(p.plan.route.LatencyObjective())))
 }
 
@@ -123,6 +127,7 @@
 		case o, ok := <-found:
 			found = nil
 			if !ok || !p.spendRetry(ctx) {
+				p.returnHedge(ok)
 				if ok {
 					o.event.Endpoint().Withdraw(o.event.Number())
 				}
@@ -131,7 +136,7 @@
 			p.countAttempt()
 			p.countRetry()
 			second, secondEvents = &o, o.events
-			o.event.Endpoint().Submit(o.event.Number(), p.call.request.WithDeadline(p.deadline))
+			p.submitHedge(o)
 		case e := <-first.events:
 			if e.Number() != first.event.Number() {
 				continue
@@ -154,6 +159,7 @@
 			}
 			if succeeded(e) {
 				first.event.Endpoint().Cancel(first.event.Number())
+				p.recordHedgeWon(started)
 				p.node = second.event.Endpoint().Node()
 				return e
 			}
@@ -186,7 +192,9 @@
 // stopHedge cancels the second attempt, or the search for its slot.
 func (p *pendingCall) stopHedge(second *offer, stop context.CancelFunc, found chan offer) {
 	stop()
-	if second != nil {
+	if second == nil {
+		p.refundHedge()
+	} else {
 		second.event.Endpoint().Cancel(second.event.Number())
 	}
 	if found != nil {
@@ -226,6 +234,7 @@
 	}
 	s := p.newSearch(candidates)
 	o, ok := s.run(ctx, candidates, request)
+	p.recordSearch(s, o, ok, request)
 	switch {
 	case !ok:
 	case o.event.Cost() > maxCost:
--- /dev/null
+++ b/lib/dispatch/hedgelimit_test.go
@@ -0,0 +1,163 @@
+package dispatch_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/shoenig/test/must"
+
+	"savorygap.example/lib/chart"
+	"savorygap.example/lib/dispatch"
+	"savorygap.example/lib/eventlog"
+	"savorygap.example/lib/fleet"
+	"savorygap.example/lib/link"
+	"savorygap.example/lib/quarantine"
+	"savorygap.example/lib/routeconfig"
+	"savorygap.example/lib/upstream"
+)
+
+// hedgeCounts counts what the observer of a router receives.
+type hedgeCounts struct {
+	sent, won, share, chain, knee atomic.Int64
+}
+
+func (c *hedgeCounts) count(_, event, reason string) {
+	switch event + " " + reason {
+	case "sent ":
+		c.sent.Add(1)
+	case "won ":
+		c.won.Add(1)
+	case "denied share":
+		c.share.Add(1)
+	case "denied chain":
+		c.chain.Add(1)
+	case "denied knee":
+		c.knee.Add(1)
+	}
+}
+
+// newLimitedRouter returns a router whose hedges are limited to a share of the requests.
+func newLimitedRouter(t testing.TB, share float64, counts *hedgeCounts, servers ...*fakeServer) *dispatch.Router {
+	t.Helper()
+	charts, err := chart.Embedded()
+	must.NoError(t, err)
+	clock := clockwork.NewRealClock()
+	observer := dispatch.NewObserver(func(string, string, time.Duration) {}, func(string) {}, func(quarantine.Record) {}).WithHedges(counts.count)
+	config := dispatch.NewConfig("self", "none", "north", dispatch.NewRetryLimits(0.2, 1000, time.Second)).WithHedging(share, 0.95)
+	r, err := dispatch.NewRouter(config, charts, clock, eventlog.New(io.Discard, clock, "self"), observer)
+	must.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go r.Run(ctx)
+	routes := []routeconfig.Route{routeconfig.NewRoute("farm", "/read/", "read", routeconfig.KindIdempotent, []routeconfig.WeightedService{routeconfig.NewWeightedService("shop", 1)}).
+		WithLatency(2*time.Second, 1500*time.Millisecond).WithMaxAttempts(2)}
+	r.SetSnapshot(fleet.NewSnapshot(5, routeconfig.New(1, routes, nil, routeconfig.DefaultLimits())))
+	var peers []fleet.Peer
+	for _, s := range servers {
+		peers = append(peers, fleet.NewPeer(s.node, "north", link.NewServerState(s.service, "i-"+s.node, true), s.endpoint))
+	}
+	r.SetPeers(peers)
+	return r
+}
+
+// respondAfter has a server respond to each request after the time that delay returns.
+func (s *fakeServer) respondAfter(t testing.TB, delay func(id string) time.Duration) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	var number atomic.Uint64
+	reserve := func(n uint64, _ upstream.SlotRequest, events chan<- upstream.Event) {
+		number.Store(n)
+		s.pending <- events
+		events <- upstream.NewEvent(upstream.Offered, n).WithEndpoint(s.endpoint).WithCost(s.cost)
+	}
+	submit := func(n uint64, r *upstream.Request) {
+		s.submitted <- r
+		events := <-s.pending
+		go func() {
+			select {
+			case <-ctx.Done():
+			case <-time.After(delay(r.ID())):
+				events <- respondWith(http.StatusOK)(n).WithEndpoint(s.endpoint)
+			}
+		}()
+	}
+	withdraw := func(uint64) { <-s.pending }
+	s.endpoint = upstream.NewEndpoint(s.node, reserve, withdraw, submit, func(n uint64) { s.cancelled <- n })
+}
+
+// TestServe_PausedServerIsHedgedWithinTheShare guards against a read that waits for a
+// server that pauses, against second sends beyond the share, and against one that goes on
+// at its server after the other has answered.
+func TestServe_PausedServerIsHedgedWithinTheShare(t *testing.T) {
+	const requests, share = 200, 0.05
+	fast := func(string) time.Duration { return 5 * time.Millisecond }
+	pausing := func(id string) time.Duration {
+		if strings.HasPrefix(id, "late") {
+			return 600 * time.Millisecond
+		}
+		return 5 * time.Millisecond
+	}
+	a, b := newFakeServer("a", "shop", 1), newFakeServer("b", "shop", 1.5)
+	a.respondAfter(t, pausing)
+	b.respondAfter(t, fast)
+	var counts hedgeCounts
+	r := newLimitedRouter(t, share, &counts, a, b)
+	sent := 0
+	for unhedged := 0; sent < requests || unhedged < 1/share; sent++ {
+		before := counts.sent.Load()
+		must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/read/1", fmt.Sprint("id-", sent))).Status())
+		if unhedged++; counts.sent.Load() > before {
+			unhedged = 0
+		}
+	}
+	baseline := counts.sent.Load()
+	// The budget holds one hedge: of two late requests, the second one waits.
+	for n, slow := range []bool{false, true} {
+		startedAt := time.Now()
+		must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/read/1", fmt.Sprint("late-", n))).Status())
+		must.Eq(t, slow, time.Since(startedAt) > 500*time.Millisecond, must.Sprint(n))
+	}
+	must.Eq(t, baseline+1, counts.sent.Load())
+	must.Positive(t, counts.won.Load())
+	must.Positive(t, counts.share.Load())
+	must.Positive(t, len(a.cancelled))
+	must.LessEq(t, share*float64(sent+2)+1, float64(counts.sent.Load()))
+	marked := false
+	for len(b.submitted) > 0 {
+		marked = (<-b.submitted).IsHedge() || marked
+	}
+	must.True(t, marked)
+}
+
+// TestServe_CallOfAHedgeIsNotHedged guards against hedges that multiply along a chain of
+// calls.
+func TestServe_CallOfAHedgeIsNotHedged(t *testing.T) {
+	delay := func(id string) time.Duration {
+		if strings.HasPrefix(id, "parent") {
+			return 300 * time.Millisecond
+		}
+		return 5 * time.Millisecond
+	}
+	a, b := newFakeServer("a", "shop", 1), newFakeServer("b", "shop", 1.5)
+	a.respondAfter(t, delay)
+	b.respondAfter(t, delay)
+	var counts hedgeCounts
+	r := newLimitedRouter(t, 0.5, &counts, a, b)
+	for n := range 60 {
+		must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/read/1", fmt.Sprint("id-", n))).Status())
+	}
+	r.RecordHedge(upstream.NewRequest("parent", http.MethodGet, "/", "farm", http.Header{}, nil).WithDeadline(time.Now().Add(time.Minute)))
+	startedAt, before := time.Now(), counts.sent.Load()
+	must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/read/1", "parent.1").WithNested(true)).Status())
+	must.GreaterEq(t, 290*time.Millisecond, time.Since(startedAt))
+	must.Eq(t, before, counts.sent.Load())
+	must.Positive(t, counts.chain.Load())
+}
--- a/lib/dispatch/messages.go
+++ b/lib/dispatch/messages.go
@@ -23,6 +23,7 @@
 	nodeCount   *int
 	stop        *stopTimes
 	suspicions  []quarantine.Record
+	hedging     *hedgingMessage
 	dump        task.Reply[Dump]
 }
 
@@ -35,6 +36,8 @@
 		m.candidates.reply.Abandon()
 	case m.retry != nil:
 		m.retry.reply.Abandon()
+	case m.hedging != nil && m.hedging.take != nil:
+		m.hedging.take.reply.Abandon()
 	}
 	m.dump.Abandon()
 }
@@ -53,6 +56,10 @@
 	version     uint64
 	meanLatency time.Duration
 	candidates  []candidate
+	// hedgesLimited reports whether the settings limit hedges; hedgeAfter is then how long
+	// an attempt runs before it is hedged.
+	hedgesLimited bool
+	hedgeAfter    time.Duration
 }
 
 // candidate is a server to ask for a slot, with the cost factor of its
--- a/lib/dispatch/reserve.go
+++ b/lib/dispatch/reserve.go
@@ -49,6 +49,7 @@
 	events       chan upstream.Event
 	pending      map[uint64]candidate
 	replied      map[uint64]bool
+	queued       map[uint64]bool // nil unless hedges are limited
 	offers       []offer
 	serversAsked int
 	reason       string
@@ -82,6 +83,7 @@
 	}
 	s := p.newSearch(candidates)
 	best, ok := s.run(ctx, candidates, request)
+	p.recordSearch(s, best, ok, request)
 	p.searchTime += p.router.clock.Since(started)
 	p.serversAsked += s.serversAsked
 	if !ok {
@@ -106,8 +108,12 @@
 }
 
 func (p *pendingCall) newSearch(candidates []candidate) *slotSearch {
+	var queued map[uint64]bool
+	if p.plan.hedgesLimited {
+		queued = make(map[uint64]bool, len(candidates))
+	}
 	return &slotSearch{
-		router: p.router, service: p.plan.service, bodySize: len(p.call.request.Body()),
+		queued: queued, router: p.router, service: p.plan.service, bodySize: len(p.call.request.Body()),
 		events:  make(chan upstream.Event, upstream.MaxEvents*len(candidates)),
 		pending: make(map[uint64]candidate, len(candidates)), replied: make(map[uint64]bool, len(candidates)),
 		latestStart: p.latestStart,
@@ -207,6 +213,9 @@
 		s.offers = append(s.offers, offer{event: e, events: s.events, cost: e.Cost() * c.costFactor(s.bodySize)})
 		s.reportCost(c, e.Cost())
 	case upstream.Queued:
+		if s.queued != nil {
+			s.queued[e.Number()] = true
+		}
 		s.reportCost(c, e.Cost())
 	case upstream.Slowed, upstream.Silent:
 	case upstream.Refused, upstream.NotRun, upstream.Unknown, upstream.Answered:
--- a/lib/dispatch/response.go
+++ b/lib/dispatch/response.go
@@ -88,8 +88,9 @@
 		route = p.plan.route.Name()
 	}
 	p.router.observer.requestEnded(route, outcome, took)
-	p.router.log.Write("request", "request", p.call.request.ID(), "outcome", outcome, "status", response.Status(), "took_ms", took.Milliseconds(),
+	fields := []any{"request", p.call.request.ID(), "outcome", outcome, "status", response.Status(), "took_ms", took.Milliseconds(),
 		"route", route, "service", p.plan.service, "version", p.plan.version, "node", p.node, "cost", p.cost, "asked", p.serversAsked,
 		"attempts", p.attempts, "waited_ms", p.searchTime.Milliseconds(), "time_left_ms", p.call.timeLeft.Milliseconds(), "nested", p.call.nested,
-		"budget_denied", p.budgetDenied, "hedge", string(p.hedgeCause), "reason", p.reason)
+		"budget_denied", p.budgetDenied, "hedge", string(p.hedgeCause), "reason", p.reason}
+	p.router.log.Write("request", append(fields, p.hedgeFields()...)...)
 }
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -12,6 +12,7 @@
 	"savorygap.example/lib/chart"
 	"savorygap.example/lib/eventlog"
 	"savorygap.example/lib/fleet"
+	"savorygap.example/lib/hedge"
 	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/routeconfig"
 	"savorygap.example/lib/task"
@@ -68,6 +69,9 @@
 	service     string
 	dataCentre  string
 	retryLimits RetryLimits
+
+	hedgingShare    float64
+	hedgingQuantile float64
 }
 
 // NewConfig returns the settings of the router on a node next to a server of
@@ -81,13 +85,14 @@
 	requestEnded func(route, outcome string, took time.Duration)
 	retried      func(service string)
 	cleared      func(r quarantine.Record)
+	hedged       func(service, event, reason string)
 }
 
 // NewObserver returns an observer: requestEnded is called when a call ends,
 // retried for each retry and hedge, and cleared when a server has finished a request under
 // which others had ended. None of them may block.
 func NewObserver(requestEnded func(route, outcome string, took time.Duration), retried func(service string), cleared func(quarantine.Record)) Observer {
-	return Observer{requestEnded: requestEnded, retried: retried, cleared: cleared}
+	return Observer{requestEnded: requestEnded, retried: retried, cleared: cleared, hedged: func(string, string, string) {}}
 }
 
 // Router is the task that owns the routes, the servers and the retry budgets.
@@ -108,6 +113,7 @@
 	meanLatencies     map[string]time.Duration
 	ledger            *quarantine.Ledger
 	held              atomic.Pointer[holds]
+	hedging           *hedge.Controller // nil unless the settings limit hedges
 	nodeCount         int
 	lastRequestNumber atomic.Uint64
 	active            atomic.Int64
@@ -167,7 +173,7 @@
 	r := &Router{
 		config: config, clock: clock, log: log, observer: observer, inbox: task.NewInbox[message](inboxSize), requestChart: requestChart, stopping: make(chan struct{}),
 		servers: map[string][]*server{}, selectors: map[string]*weightedSelector{}, budgets: map[string]*budget{}, meanLatencies: map[string]time.Duration{}, nodeCount: 1,
-		ledger: ledger,
+		ledger: ledger, hedging: newHedging(config),
 	}
 	r.held.Store(&holds{})
 	return r, nil
@@ -245,6 +251,8 @@
 		r.setStop(m.stop)
 	case m.suspicions != nil:
 		r.applySuspicions(m.suspicions)
+	case m.hedging != nil && r.hedging != nil:
+		r.handleHedging(m.hedging)
 	case m.dump != nil:
 		m.dump <- r.dump()
 	}
@@ -288,7 +296,8 @@
 	}
 	service := r.selectors[key].next(route.Services())
 	r.budget(service).deposit(r.clock.Now(), r.config.retryLimits, r.nodeCount, 1)
-	return plan{route: route, service: service, version: r.snapshot.Version(), meanLatency: r.meanLatencies[key], candidates: r.candidates(service, nil)}, nil
+	p := plan{route: route, service: service, version: r.snapshot.Version(), meanLatency: r.meanLatencies[key], candidates: r.candidates(service, nil)}
+	return r.limitHedges(p, key), nil
 }
 
 // routeKey identifies a route across versions of the configuration.
@@ -296,6 +305,9 @@
 
 // recordLatency updates the moving average of a route's latency.
 func (r *Router) recordLatency(m *latencyMessage) {
+	if r.hedging != nil {
+		r.hedging.RecordLatency(r.clock.Now(), m.route, m.latency)
+	}
 	mean, ok := r.meanLatencies[m.route]
 	if !ok {
 		r.meanLatencies[m.route] = m.latency
--- a/lib/limiter/limiter.go
+++ b/lib/limiter/limiter.go
@@ -109,6 +109,9 @@
 // InUse returns the number of reserved slots.
 func (l *Limiter) InUse() int { return len(l.reservations) }
 
+// IsBusy reports whether more slots are reserved than ordinary requests may use.
+func (l *Limiter) IsBusy() bool { return len(l.reservations) > l.ordinarySlots() }
+
 // QueueLen returns the number of queued requests.
 func (l *Limiter) QueueLen() int { return len(l.queue) }
 
--- a/lib/link/codec.go
+++ b/lib/link/codec.go
@@ -205,7 +205,7 @@
 
 func encodeEvent(v upstream.Event) []byte {
 	e := newEncoder(typeEvent, 96).varint(1, v.Number()).varint(2, uint64(v.Kind())).float(3, v.Cost()).
-		text(4, v.Reason()).duration(5, v.RetryAfter()).float(9, v.Pressure())
+		text(4, v.Reason()).duration(5, v.RetryAfter()).float(9, v.Pressure()).flag(14, v.IsBusy())
 	if r := v.Response(); r != nil {
 		e.varint(6, uint64(r.Status())).header(7, r.Header()).varint(8, uint64(len(r.Body())))
 	}
@@ -215,7 +215,7 @@
 func encodeRequest(n *numberedRequest) []byte {
 	r := n.request
 	return newEncoder(typeRequest, 512).varint(1, n.number).text(2, r.ID()).text(3, r.Method()).text(4, r.URI()).
-		text(5, r.Host()).text(6, r.OriginService()).header(7, r.Header()).varint(8, uint64(len(r.Body()))).duration(9, n.timeLeft).frame()
+		text(5, r.Host()).text(6, r.OriginService()).header(7, r.Header()).varint(8, uint64(len(r.Body()))).duration(9, n.timeLeft).flag(14, r.IsHedge()).frame()
 }
 
 // ReadFrame reads one frame and returns its type and payload.
--- a/lib/link/decode.go
+++ b/lib/link/decode.go
@@ -109,6 +109,9 @@
 		return Message{withdraw: &number}, true, nil
 	case typeRequest:
 		r := upstream.NewRequest(f.text(2), f.text(3), f.text(4), f.text(5), f.header(), nil).WithOriginService(f.text(6))
+		if f.numbers[14] != 0 {
+			r = r.AsHedge()
+		}
 		return Message{request: &numberedRequest{number: number, request: r, bodyLength: f.count(8), timeLeft: f.duration(9)}}, true, nil
 	case typeRequestPart:
 		return Message{requestPart: &bodyPart{number: number, bytes: f.bytes[2]}}, true, nil
@@ -215,7 +218,7 @@
 		return Message{}, false, &FrameError{frameType: typeEvent, reason: fmt.Sprintf("event kind %d does not exist", kind)}
 	}
 	e := upstream.NewEvent(kind, f.numbers[1]).WithCost(math.Float64frombits(f.numbers[3])).
-		WithReason(f.text(4)).WithRetryAfter(f.duration(5)).WithPressure(math.Float64frombits(f.numbers[9]))
+		WithReason(f.text(4)).WithRetryAfter(f.duration(5)).WithPressure(math.Float64frombits(f.numbers[9])).WithBusy(f.numbers[14] != 0)
 	if status := f.count(6); status != 0 {
 		e = e.WithResponse(upstream.NewResponse(status, f.header(), nil))
 	}
--- a/lib/serverproxy/messages.go
+++ b/lib/serverproxy/messages.go
@@ -176,6 +176,9 @@
 // Submit forwards a request in the slot that was reserved under key. The reply
 // function passed to Reserve receives the outcome.
 func (p *Proxy) Submit(key limiter.Key, r *upstream.Request) {
+	if r.IsHedge() {
+		p.hooks.hedge(r)
+	}
 	p.inbox.Send(message{submit: &submitMessage{key: key, request: r}})
 }
 
--- a/lib/serverproxy/proxy.go
+++ b/lib/serverproxy/proxy.go
@@ -163,6 +163,7 @@
 	stateChanged func(ServerState)
 	leaving      func(instance string, startedAt int64)
 	ended        func(instance string, requests []quarantine.Fingerprint)
+	hedge        func(*upstream.Request)
 }
 
 // NewHooks returns hooks. stateChanged is called whenever the published state changes,
@@ -170,7 +171,14 @@
 // start time in Unix milliseconds. ended is called when an instance has ended, with the
 // requests that it was at work on.
 func NewHooks(stateChanged func(ServerState), leaving func(instance string, startedAt int64), ended func(instance string, requests []quarantine.Fingerprint)) Hooks {
-	return Hooks{stateChanged: stateChanged, leaving: leaving, ended: ended}
+	return Hooks{stateChanged: stateChanged, leaving: leaving, ended: ended, hedge: func(*upstream.Request) {}}
+}
+
+// WithHedges returns the hooks with a function that is called, from the task that submits
+// it, for each request that is a hedge.
+func (h Hooks) WithHedges(hedge func(*upstream.Request)) Hooks {
+	h.hedge = hedge
+	return h
 }
 
 // pendingRequest is a slot request together with the function that receives its
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -80,7 +80,7 @@
 	number := d.Key().Number()
 	switch d.Status() {
 	case limiter.Granted:
-		pending.reply(upstream.NewEvent(upstream.Offered, number).WithCost(d.Cost()))
+		pending.reply(upstream.NewEvent(upstream.Offered, number).WithCost(d.Cost()).WithBusy(p.slotLimiter.IsBusy()))
 	case limiter.Queued:
 		pending.reply(upstream.NewEvent(upstream.Queued, number).WithCost(p.slotLimiter.Cost(p.clock.Now())))
 	case limiter.Denied:
--- a/lib/upstream/upstream.go
+++ b/lib/upstream/upstream.go
@@ -148,6 +148,7 @@
 	header        http.Header
 	body          []byte
 	deadline      time.Time
+	hedge         bool
 }
 
 // NewRequest returns an HTTP request; id identifies one attempt of the caller.
@@ -272,6 +273,7 @@
 	number     uint64
 	cost       float64
 	pressure   float64
+	busy       bool
 	reason     string
 	retryAfter time.Duration
 	response   *Response
--- a/savorygap-node/internal/metrics/metrics.go
+++ b/savorygap-node/internal/metrics/metrics.go
@@ -24,6 +24,7 @@
 	serverRequests    *prometheus.CounterVec
 	serverSeconds     *prometheus.HistogramVec
 	retries           *prometheus.CounterVec
+	hedges            *prometheus.CounterVec
 	storeCalls        *prometheus.CounterVec
 	storeSeconds      *prometheus.HistogramVec
 	storeRestores     prometheus.Counter
@@ -42,13 +43,14 @@
 		serverRequests:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_server_requests_total", Help: "Requests sent to the server on this host by outcome."}, []string{"service", "outcome"}),
 		serverSeconds:     prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "savorygap_server_seconds", Help: "Time that the server on this host took.", Buckets: latencyBuckets}, []string{"outcome"}),
 		retries:           prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_retries_total", Help: "Further attempts by service."}, []string{"service"}),
+		hedges:            prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_hedges_total", Help: "Hedges by service and event (sent, won, denied) where the settings limit them, and why they were denied."}, []string{"service", "event", "reason"}),
 		storeCalls:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_store_calls_total", Help: "Calls to the platform's store by kind and status, 0 for no answer."}, []string{"call", "status"}),
 		storeSeconds:      prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "savorygap_store_seconds", Help: "Time that calls to the store took.", Buckets: latencyBuckets}, []string{"call"}),
 		storeRestores:     prometheus.NewCounter(prometheus.CounterOpts{Name: "savorygap_store_restores_total", Help: "Times that this node found the platform's store restored to an older state."}),
 		healthChecks:      prometheus.NewCounter(prometheus.CounterOpts{Name: "savorygap_health_checks_total", Help: "Health checks sent to the server on this host."}),
 		serverConnections: prometheus.NewCounter(prometheus.CounterOpts{Name: "savorygap_server_connections_total", Help: "Connections opened to the server on this host."}),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.serverRequests, m.serverSeconds, m.retries, m.storeCalls, m.storeSeconds, m.storeRestores, m.healthChecks, m.serverConnections)
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.serverRequests, m.serverSeconds, m.retries, m.hedges, m.storeCalls, m.storeSeconds, m.storeRestores, m.healthChecks, m.serverConnections)
 	return m
 }
 
@@ -73,6 +75,12 @@
 // CountRetry counts a retry of a request to the service.
 func (m *Metrics) CountRetry(service string) { m.retries.WithLabelValues(service).Inc() }
 
+// CountHedge counts a hedge of a request to the service that was sent, won, or was denied
+// for a reason.
+func (m *Metrics) CountHedge(service, event, reason string) {
+	m.hedges.WithLabelValues(service, event, reason).Inc()
+}
+
 // ObserveStoreCall records a call to the store; status 0 means that there was no
 // reply.
 func (m *Metrics) ObserveStoreCall(call string, status int, took time.Duration) {
--- a/savorygap-node/internal/pipeline/node_test.go
+++ b/savorygap-node/internal/pipeline/node_test.go
@@ -65,6 +65,8 @@
 	store   *platformtest.Store
 	address string
 	hosts   []*host
+	// moreSettings is added to the settings of hosts that are added later.
+	moreSettings string
 }
 
 func newCluster(t *testing.T) *cluster {
@@ -113,7 +115,7 @@
 store: {address: %q}
 retries: {ratio: 0.2, least: 50, window: 10s}
 drain: {grace: 6s}
-`, h.name, service, h.server.Address(), h.addresses["callers"], h.addresses["links"], h.addresses["ready"], h.addresses["announcements"], h.addresses["metrics"], cl.address), 0o600))
+%s`, h.name, service, h.server.Address(), h.addresses["callers"], h.addresses["links"], h.addresses["ready"], h.addresses["announcements"], h.addresses["metrics"], cl.address, cl.moreSettings), 0o600))
 	cl.hosts = append(cl.hosts, h)
 	h.start(t)
 	t.Cleanup(func() { h.kill() })
--- a/savorygap-node/internal/routing/routing.go
+++ b/savorygap-node/internal/routing/routing.go
@@ -31,8 +31,8 @@
 	limits := dispatch.NewRetryLimits(t.RetryRatio(), t.MinRetries(), t.RetryWindow())
 	observer := dispatch.NewObserver(p.Metrics().ObserveRequest, p.Metrics().CountRetry, func(r quarantine.Record) {
 		p.Fleet().SendSuspicions([]quarantine.Record{r})
-	})
-	router, err := dispatch.NewRouter(dispatch.NewConfig(t.Host(), t.Service(), t.DataCentre(), limits), p.Charts(), p.Clock(), p.Log(), observer)
+	}).WithHedges(p.Metrics().CountHedge)
+	router, err := dispatch.NewRouter(dispatch.NewConfig(t.Host(), t.Service(), t.DataCentre(), limits).WithHedging(t.HedgingShare(), t.HedgingQuantile()), p.Charts(), p.Clock(), p.Log(), observer)
 	if err != nil {
 		return err
 	}
--- a/savorygap-node/internal/servers/servers.go
+++ b/savorygap-node/internal/servers/servers.go
@@ -50,7 +50,7 @@
 		p.Fleet().SendSuspicions(records)
 		p.Router().ApplySuspicions(records)
 	}
-	proxy, err := serverproxy.New(config, p.Charts(), p.Clock(), p.Log(), observer, serverproxy.NewHooks(onStateChange, onLeaving, onEnded))
+	proxy, err := serverproxy.New(config, p.Charts(), p.Clock(), p.Log(), observer, serverproxy.NewHooks(onStateChange, onLeaving, onEnded).WithHedges(p.Router().RecordHedge))
 	if err != nil {
 		return err
 	}
--- a/savorygap-node/internal/settings/settings.go
+++ b/savorygap-node/internal/settings/settings.go
@@ -32,6 +32,7 @@
 	Store           fileStore  `yaml:"store"`
 	Retries         fileRetry  `yaml:"retries"`
 	Drain           fileDrain  `yaml:"drain"`
+	Hedging         fileHedge  `yaml:"hedging,omitempty"`
 }
 
 type fileListen struct {
@@ -57,6 +58,11 @@
 	Grace time.Duration `yaml:"grace"`
 }
 
+type fileHedge struct {
+	Share    float64 `yaml:"share"`
+	Quantile float64 `yaml:"quantile"`
+}
+
 // Tree holds the settings of a node.
 type Tree struct {
 	file file
@@ -104,6 +110,9 @@
 			return nil, &MissingError{path: path, setting: r.name}
 		}
 	}
+	if err := t.checkHedging(); err != nil {
+		return nil, fmt.Errorf("settings file %q: %w", path, err)
+	}
 	return t, nil
 }
 
