--- a/lib/dispatch/messages.go
+++ b/lib/dispatch/messages.go
@@ -25,6 +25,7 @@
 	stop        *stopTimes
 	suspicions  []quarantine.Record
 	versions    *versionsMessage
+	hedging     *hedgingMessage
 	dump        task.Reply[Dump]
 }
 
@@ -39,6 +40,8 @@
 		m.retry.reply.Abandon()
 	case m.versions != nil:
 		m.versions.reply.Abandon()
+	case m.hedging != nil && m.hedging.take != nil:
+		m.hedging.take.reply.Abandon()
 	}
 	m.dump.Abandon()
 }
@@ -64,6 +67,10 @@
 	nested  bool
 	release string // of the servers to ask, "" for any
 	canary  bool   // whether it is the target of a rollout that still has another version
+	// hedgesLimited reports whether the settings limit hedges; hedgeAfter is then how long
+	// an attempt runs before it is hedged.
+	hedgesLimited bool
+	hedgeAfter    time.Duration
 }
 
 // candidate is a server to ask for a slot, with the cost factor of its
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -12,6 +12,7 @@
 	"savorygap.example/lib/chart"
 	"savorygap.example/lib/eventlog"
 	"savorygap.example/lib/fleet"
+	"savorygap.example/lib/hedge"
 	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/quota/controller"
 	"savorygap.example/lib/routeconfig"
@@ -75,6 +76,9 @@
 	// See WithDownstream; nil without downstream admission.
 	callingRun     func(ctx context.Context, id, service string) (route string, priority int, ok bool)
 	reportPressure func(route, service string, pressure float64)
+
+	hedgingShare    float64
+	hedgingQuantile float64
 }
 
 // NewConfig returns the settings of the router on a node next to a server of
@@ -89,13 +93,14 @@
 	retried      func(service string)
 	cleared      func(r quarantine.Record)
 	searched     func(service, scope string)
+	hedged       func(service, event, reason string)
 }
 
 // NewObserver returns an observer: requestEnded is called when a call ends,
 // retried for each retry and hedge, and cleared when a server has finished a request under
 // which others had ended. None of them may block.
 func NewObserver(requestEnded func(route, outcome string, took time.Duration), retried func(service string), cleared func(quarantine.Record)) Observer {
-	return Observer{requestEnded: requestEnded, retried: retried, cleared: cleared}
+	return Observer{requestEnded: requestEnded, retried: retried, cleared: cleared, hedged: func(string, string, string) {}}
 }
 
 // Router is the task that owns the routes, the servers and the retry budgets.
@@ -119,6 +124,7 @@
 	distances         *distances
 	held              atomic.Pointer[holds]
 	versions          versions
+	hedging           *hedge.Controller // nil unless the settings limit hedges
 	nodeCount         int
 	lastRequestNumber atomic.Uint64
 	active            atomic.Int64
@@ -182,7 +188,7 @@
 	r := &Router{
 		config: config, clock: clock, log: log, observer: observer, inbox: task.NewInbox[message](inboxSize), requestChart: requestChart, stopping: make(chan struct{}),
 		servers: map[string][]*server{}, selectors: map[string]*weightedSelector{}, budgets: map[string]*budget{}, meanLatencies: map[string]time.Duration{}, nodeCount: 1,
-		ledger: ledger, distances: newDistances(config.farRoundTrip),
+		ledger: ledger, distances: newDistances(config.farRoundTrip), hedging: newHedging(config),
 	}
 	r.held.Store(&holds{})
 	return r, nil
@@ -265,6 +271,8 @@
 		r.handleVersions(m.versions)
 	case m.suspicions != nil:
 		r.applySuspicions(m.suspicions)
+	case m.hedging != nil && r.hedging != nil:
+		r.handleHedging(m.hedging)
 	case m.dump != nil:
 		m.dump <- r.dump()
 	}
@@ -319,7 +327,7 @@
 	}
 	p.release, p.canary = r.chooseRelease(service)
 	p.candidates = r.candidates(service, p.meanLatency, nil, p.release)
-	return p, nil
+	return r.limitHedges(p, key), nil
 }
 
 // routeKey identifies a route across versions of the configuration.
@@ -327,6 +335,9 @@
 
 // recordLatency updates the moving average of a route's latency.
 func (r *Router) recordLatency(m *latencyMessage) {
+	if r.hedging != nil {
+		r.hedging.RecordLatency(r.clock.Now(), m.route, m.latency)
+	}
 	mean, ok := r.meanLatencies[m.route]
 	if !ok {
 		r.meanLatencies[m.route] = m.latency
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -102,6 +102,7 @@
 	watch        func(peer string, started bool)
 	entryLost    func()
 	removeMember func(registry.Record)
+	eraChanged   func(eraStart uint64)
 	suspicions   func([]quarantine.Record)
 	heldRequests func() []quarantine.Record
 	quotas       quotaHooks
@@ -124,7 +125,7 @@
 //     removed from the store.
 func NewHooks(decode func([]byte) (*routeconfig.Config, error), snapshot func(Snapshot), peers func([]Peer), nodes func(int), departures func(records []registry.Record, stored bool), register func(entry registry.Record, exists bool), watch func(peer string, started bool), entryLost func(), removeMember func(registry.Record)) Hooks {
 	return Hooks{decode: decode, snapshot: snapshot, peers: peers, nodes: nodes, departures: departures, register: register, watch: watch, entryLost: entryLost, removeMember: removeMember,
-		suspicions: func([]quarantine.Record) {}, heldRequests: func() []quarantine.Record { return nil }, rollouts: noRollouts()}
+		suspicions: func([]quarantine.Record) {}, heldRequests: func() []quarantine.Record { return nil }, rollouts: noRollouts(), eraChanged: func(uint64) {}}
 }
 
 // WithQuarantine returns the hooks with a function that receives, from the task of a link,
@@ -146,6 +147,7 @@
 	inbox          *task.Inbox[message]
 	serverStates   *task.Latest[link.ServerState]
 	machine        *chart.Machine
+	storeMachine   *chart.Machine
 	snapshot       Snapshot
 	refused        uint64        // the store version that was refused last
 	announced      link.Versions // the newest versions that peers announced
@@ -158,6 +160,8 @@
 	departures     map[string]registry.Record // by node
 	removals       map[string]uint64          // versions at which members were removed, by node
 	readVersion    uint64                     // of the last full read of the store
+	eraStart       uint64                     // lowest version of the era of that read
+	holdUntil      time.Time                  // end of the hold of evacuations of an older era
 	dialStates     map[string]*dialState      // by node
 	links          map[uint64]*peerLink       // by link id
 	lastLinkID     uint64
@@ -232,6 +236,9 @@
 		return nil, err
 	}
 	f.watchShare.Store(math.Float64bits(1))
+	if f.storeMachine, err = f.newStoreMachine(charts); err != nil {
+		return nil, err
+	}
 	f.machine, err = configuration.NewMachine(chart.Actions{"publish": f.publish, "fetch": func() {}})
 	return f, err
 }
--- a/lib/link/codec.go
+++ b/lib/link/codec.go
@@ -132,7 +132,7 @@
 	switch {
 	case m.hello != nil:
 		h := m.hello
-		return encodeServerState(newEncoder(typeHello, 160).text(1, h.node).text(2, h.address).text(3, h.dataCentre).varint(4, h.versions.configuration).varint(5, h.versions.evacuation).float(6, h.bandwidth), h.serverState).frame()
+		return encodeServerState(newEncoder(typeHello, 160).text(1, h.node).text(2, h.address).text(3, h.dataCentre).varint(4, h.versions.configuration).varint(5, h.versions.evacuation).float(6, h.bandwidth).varint(15, h.versions.operators), h.serverState).frame()
 	case m.slotRequest != nil:
 		r := m.slotRequest.slotRequest
 		return newEncoder(typeSlotRequest, 96).varint(1, m.slotRequest.number).text(2, r.Service()).varint(3, uint64(max(r.Priority(), 0))).
@@ -157,7 +157,7 @@
 	case m.serverState != nil:
 		return encodeServerState(newEncoder(typeServerState, 64), *m.serverState).frame()
 	case m.versions != nil:
-		return newEncoder(typeVersions, 24).varint(1, m.versions.configuration).varint(2, m.versions.evacuation).frame()
+		return newEncoder(typeVersions, 36).varint(1, m.versions.configuration).varint(2, m.versions.evacuation).varint(3, m.versions.operators).frame()
 	case m.signal != noSignal:
 		return newEncoder(typeSignal, 8).varint(1, uint64(m.signal)).frame()
 	case m.members != nil:
@@ -214,7 +214,7 @@
 
 func encodeEvent(v upstream.Event) []byte {
 	e := newEncoder(typeEvent, 96).varint(1, v.Number()).varint(2, uint64(v.Kind())).float(3, v.Cost()).
-		text(4, v.Reason()).duration(5, v.RetryAfter()).float(9, v.Pressure())
+		text(4, v.Reason()).duration(5, v.RetryAfter()).float(9, v.Pressure()).flag(14, v.IsBusy())
 	if r := v.Response(); r != nil {
 		e.varint(6, uint64(r.Status())).header(7, r.Header()).varint(8, uint64(len(r.Body())))
 	}
@@ -224,7 +224,7 @@
 func encodeRequest(n *numberedRequest) []byte {
 	r := n.request
 	return newEncoder(typeRequest, 512).varint(1, n.number).text(2, r.ID()).text(3, r.Method()).text(4, r.URI()).
-		text(5, r.Host()).text(6, r.OriginService()).header(7, r.Header()).varint(8, uint64(len(r.Body()))).duration(9, n.timeLeft).frame()
+		text(5, r.Host()).text(6, r.OriginService()).header(7, r.Header()).varint(8, uint64(len(r.Body()))).duration(9, n.timeLeft).flag(14, r.IsHedge()).frame()
 }
 
 // ReadFrame reads one frame and returns its type and payload.
--- a/lib/link/decode.go
+++ b/lib/link/decode.go
@@ -98,7 +98,7 @@
 	number := f.numbers[1]
 	switch frameType {
 	case typeHello:
-		return Message{hello: &Hello{node: f.text(1), address: f.text(2), dataCentre: f.text(3), versions: NewVersions(f.numbers[4], f.numbers[5]), bandwidth: math.Float64frombits(f.numbers[6]), serverState: f.serverState()}}, true, nil
+		return Message{hello: &Hello{node: f.text(1), address: f.text(2), dataCentre: f.text(3), versions: NewVersions(f.numbers[4], f.numbers[5]).WithOperators(f.numbers[15]), bandwidth: math.Float64frombits(f.numbers[6]), serverState: f.serverState()}}, true, nil
 	case typeSlotRequest:
 		r := upstream.NewSlotRequest(f.text(2), f.count(3)).WithNested(f.numbers[4] != 0).WithMaxWait(f.duration(5)).WithRequestID(f.text(6)).WithSlowdownNotice(f.numbers[7] != 0).
 			WithMaxSlowness(math.Float64frombits(f.numbers[8])).WithTimes(f.duration(9), f.duration(10)).WithTenant(f.text(11)).WithRoute(f.text(12)).WithRelease(f.text(13))
@@ -109,6 +109,9 @@
 		return Message{withdraw: &number}, true, nil
 	case typeRequest:
 		r := upstream.NewRequest(f.text(2), f.text(3), f.text(4), f.text(5), f.header(), nil).WithOriginService(f.text(6))
+		if f.numbers[14] != 0 {
+			r = r.AsHedge()
+		}
 		return Message{request: &numberedRequest{number: number, request: r, bodyLength: f.count(8), timeLeft: f.duration(9)}}, true, nil
 	case typeRequestPart:
 		return Message{requestPart: &bodyPart{number: number, bytes: f.bytes[2]}}, true, nil
@@ -124,7 +127,7 @@
 		s := f.serverState()
 		return Message{serverState: &s}, true, nil
 	case typeVersions:
-		versions := NewVersions(f.numbers[1], f.numbers[2])
+		versions := NewVersions(f.numbers[1], f.numbers[2]).WithOperators(f.numbers[3])
 		return Message{versions: &versions}, true, nil
 	case typeSignal:
 		return decodeSignal(number)
@@ -222,7 +225,7 @@
 		return Message{}, false, &FrameError{frameType: typeEvent, reason: fmt.Sprintf("event kind %d does not exist", kind)}
 	}
 	e := upstream.NewEvent(kind, f.numbers[1]).WithCost(math.Float64frombits(f.numbers[3])).
-		WithReason(f.text(4)).WithRetryAfter(f.duration(5)).WithPressure(math.Float64frombits(f.numbers[9]))
+		WithReason(f.text(4)).WithRetryAfter(f.duration(5)).WithPressure(math.Float64frombits(f.numbers[9])).WithBusy(f.numbers[14] != 0)
 	if status := f.count(6); status != 0 {
 		e = e.WithResponse(upstream.NewResponse(status, f.header(), nil))
 	}
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -90,7 +90,7 @@
 	number := d.Key().Number()
 	switch d.Status() {
 	case limiter.Granted:
-		pending.reply(p.withPressure(upstream.NewEvent(upstream.Offered, number).WithCost(d.Cost()), pending.request))
+		pending.reply(p.withPressure(upstream.NewEvent(upstream.Offered, number).WithCost(d.Cost()).WithBusy(p.slotLimiter.IsBusy()), pending.request))
 	case limiter.Queued:
 		pending.reply(p.withPressure(upstream.NewEvent(upstream.Queued, number).WithCost(p.slotLimiter.Cost(p.clock.Now())), pending.request))
 	case limiter.Denied:
--- a/savorygap-node/internal/metrics/metrics.go
+++ b/savorygap-node/internal/metrics/metrics.go
@@ -26,8 +26,10 @@
 	searches          *prometheus.CounterVec
 	allowances        *prometheus.GaugeVec
 	retries           *prometheus.CounterVec
+	hedges            *prometheus.CounterVec
 	storeCalls        *prometheus.CounterVec
 	storeSeconds      *prometheus.HistogramVec
+	storeRestores     prometheus.Counter
 	healthChecks      prometheus.Counter
 	serverConnections prometheus.Counter
 }
@@ -45,12 +47,14 @@
 		searches:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_searches_total", Help: "Searches for a slot by service and by whether servers in far data centres were asked."}, []string{"service", "scope"}),
 		allowances:        prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "savorygap_start_allowance", Help: "Share of a route's requests that the server on this host is given, while a service that they call is short of room."}, []string{"route"}),
 		retries:           prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_retries_total", Help: "Further attempts by service."}, []string{"service"}),
+		hedges:            prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_hedges_total", Help: "Hedges by service and event (sent, won, denied) where the settings limit them, and why they were denied."}, []string{"service", "event", "reason"}),
 		storeCalls:        prometheus.NewCounterVec(prometheus.CounterOpts{Name: "savorygap_store_calls_total", Help: "Calls to the platform's store by kind and status, 0 for no answer."}, []string{"call", "status"}),
 		storeSeconds:      prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "savorygap_store_seconds", Help: "Time that calls to the store took.", Buckets: latencyBuckets}, []string{"call"}),
+		storeRestores:     prometheus.NewCounter(prometheus.CounterOpts{Name: "savorygap_store_restores_total", Help: "Times that this node found the platform's store restored to an older state."}),
 		healthChecks:      prometheus.NewCounter(prometheus.CounterOpts{Name: "savorygap_health_checks_total", Help: "Health checks sent to the server on this host."}),
 		serverConnections: prometheus.NewCounter(prometheus.CounterOpts{Name: "savorygap_server_connections_total", Help: "Connections opened to the server on this host."}),
 	}
-	m.registry.MustRegister(m.requests, m.requestSeconds, m.serverRequests, m.serverSeconds, m.searches, m.allowances, m.retries, m.storeCalls, m.storeSeconds, m.healthChecks, m.serverConnections)
+	m.registry.MustRegister(m.requests, m.requestSeconds, m.serverRequests, m.serverSeconds, m.searches, m.allowances, m.retries, m.hedges, m.storeCalls, m.storeSeconds, m.storeRestores, m.healthChecks, m.serverConnections)
 	return m
 }
 
@@ -85,6 +89,12 @@
 // CountRetry counts a retry of a request to the service.
 func (m *Metrics) CountRetry(service string) { m.retries.WithLabelValues(service).Inc() }
 
+// CountHedge counts a hedge of a request to the service that was sent, won, or was denied
+// for a reason.
+func (m *Metrics) CountHedge(service, event, reason string) {
+	m.hedges.WithLabelValues(service, event, reason).Inc()
+}
+
 // ObserveStoreCall records a call to the store; status 0 means that there was no
 // reply.
 func (m *Metrics) ObserveStoreCall(call string, status int, took time.Duration) {
@@ -92,6 +102,9 @@
 	m.storeSeconds.WithLabelValues(call).Observe(took.Seconds())
 }
 
+// CountStoreRestore counts that the store was found restored to an older state.
+func (m *Metrics) CountStoreRestore() { m.storeRestores.Inc() }
+
 // CountHealthCheck counts a health check of the server on this host.
 func (m *Metrics) CountHealthCheck() { m.healthChecks.Inc() }
 
--- a/savorygap-node/internal/routing/routing.go
+++ b/savorygap-node/internal/routing/routing.go
@@ -33,10 +33,10 @@
 	limits := dispatch.NewRetryLimits(t.RetryRatio(), t.MinRetries(), t.RetryWindow())
 	observer := dispatch.NewObserver(p.Metrics().ObserveRequest, p.Metrics().CountRetry, func(r quarantine.Record) {
 		p.Fleet().SendSuspicions([]quarantine.Record{r})
-	}).WithSearched(p.Metrics().CountSearch)
+	}).WithSearched(p.Metrics().CountSearch).WithHedges(p.Metrics().CountHedge)
 	config := dispatch.NewConfig(t.Host(), t.Service(), t.DataCentre(), limits).
 		WithTenants(platform.HeaderNames().Tenant(), platform.AuthenticationScheme, func(id string) bool { return p.ServerProxy().RunsParent(id) }).
-		WithFarRoundTrip(t.FarRoundTrip())
+		WithFarRoundTrip(t.FarRoundTrip()).WithHedging(t.HedgingShare(), t.HedgingQuantile())
 	if t.DownstreamAdmission() {
 		// The step servers sets the proxy before any request arrives.
 		config = config.WithDownstream(
--- a/savorygap-node/internal/settings/settings.go
+++ b/savorygap-node/internal/settings/settings.go
@@ -38,6 +38,7 @@
 	Admission   fileAdmission   `yaml:"admission"`
 
 	Rollout *fileRollout `yaml:"rollout,omitempty"`
+	Hedging fileHedge    `yaml:"hedging,omitempty"`
 }
 
 type fileListen struct {
@@ -71,6 +72,11 @@
 	Downstream bool `yaml:"downstream"`
 }
 
+type fileHedge struct {
+	Share    float64 `yaml:"share"`
+	Quantile float64 `yaml:"quantile"`
+}
+
 // Tree holds the settings of a node.
 type Tree struct {
 	file file
@@ -121,6 +127,9 @@
 	if !t.file.Quota.isValid() {
 		return nil, &QuotaError{path: path}
 	}
+	if err := t.checkHedging(); err != nil {
+		return nil, fmt.Errorf("settings file %q: %w", path, err)
+	}
 	return t, nil
 }
 
