--- a/lib/rollout/plan.go
+++ b/lib/rollout/plan.go
@@ -47,12 +47,17 @@
 	// canaryGood is how many good responses the canary needs: of a version that fails
 	// half of its requests, 60 have some 30 bad ones.
 	canaryGood = 60
+	// canaryYield is the fraction of the responses that the first share of the requests
+	// should have brought by then, and leastCanaryGood the least number of good ones where
+	// that is few.
+	canaryYield     = 0.5
+	leastCanaryGood = 16
 	// rampGood is how many good responses each server in use needs for a further step.
 	rampGood = 6
 	// patience is the fraction of the duration by which a step with too few responses may
 	// be late before it is taken nevertheless, if no server is suspected: few responses mean
 	// that few requests are exposed. Half of it is the least time between two such steps.
-	patience = 0.08
+	patience = 0.06
 	// leftAlone is the fraction of the duration before which a node that knows no server of
 	// another version does not begin the rollout: it may only lack the links to them.
 	leftAlone = 0.2
@@ -168,13 +173,23 @@
 		total += t.routes[allRoutes].good
 		least = min(least, t.routes[allRoutes].good)
 	}
-	return least >= rampGood && (r.step() >= firstRamp || total >= canaryGood)
+	return least >= rampGood && (r.step() >= firstRamp || total >= r.canaryNeed())
 }
 
 // hasSuspicion reports whether a majority of servers is suspected, though not enough of
 // them for a rollback.
 func (r *Rollout) hasSuspicion() bool { return !r.suspectedSince.IsZero() }
 
+// canaryNeed returns how many good responses the canary needs: fewer than canaryGood where
+// the service gets so few requests that the share of the canary has not brought as many.
+func (r *Rollout) canaryNeed() int {
+	judged := 0
+	for _, t := range r.tallies {
+		judged += t.total()
+	}
+	return min(canaryGood, max(leastCanaryGood, int(canaryYield*r.steps[0].share*float64(judged))))
+}
+
 // at returns the time after the order of a fraction of the duration.
 func (r *Rollout) at(fraction float64) time.Duration {
 	return time.Duration(fraction * float64(r.order.duration))
