--- a/lib/dispatch/messages.go
+++ b/lib/dispatch/messages.go
@@ -52,6 +52,35 @@
 	shutdown     upstream.Shutdown
 }
 
+type planMessage struct {
+	call  Call
+	reply task.Reply[planResult]
+}
+
+type planResult struct {
+	plan plan
+	err  error
+}
+
+type candidatesMessage struct {
+	service string
+	latency time.Duration
+	exclude []string
+	release string
+	reply   task.Reply[[]candidate]
+}
+
+type retryMessage struct {
+	service string
+	reply   task.Reply[bool]
+}
+
+type localServerMessage struct {
+	service   string
+	accepting bool
+	endpoint  *upstream.Endpoint
+}
+
 // plan is the result of matching a call: its route, the service chosen for it, and
 // the servers to ask for a slot.
 type plan struct {
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -145,35 +145,6 @@
 	release       string // version, "" if unknown
 }
 
-type planMessage struct {
-	call  Call
-	reply task.Reply[planResult]
-}
-
-type planResult struct {
-	plan plan
-	err  error
-}
-
-type candidatesMessage struct {
-	service string
-	latency time.Duration
-	exclude []string
-	release string
-	reply   task.Reply[[]candidate]
-}
-
-type retryMessage struct {
-	service string
-	reply   task.Reply[bool]
-}
-
-type localServerMessage struct {
-	service   string
-	accepting bool
-	endpoint  *upstream.Endpoint
-}
-
 // NewRouter returns a router whose requests follow the chart "request" of
 // charts.
 func NewRouter(config Config, charts *chart.Set, clock clockwork.Clock, log *eventlog.Log, observer Observer) (*Router, error) {
