downstream: a route keeps at least 0.3 of its runs

Cause: with a floor of 0.1 a less urgent kind could be served less than a quarter as often as others, which operators count as starved.

--- a/lib/downstream/downstream.go
+++ b/lib/downstream/downstream.go
@@ -27,9 +27,10 @@
 const Reason = "called service is short of room"
 
 const (
-	// minAllowance keeps some runs going, without which nothing would be heard of the
-	// called service.
-	minAllowance = 0.1
+	// minAllowance bounds what a route loses. Operators count a kind of request as starved
+	// that is served less than a quarter as often as others, and without runs nothing
+	// would be heard of the called service.
+	minAllowance = 0.3
 	// minPressure is the pressure up to which nothing is reduced: callers tolerate that a
 	// less urgent kind is served more often by 5 in 100, and single refusals are noise.
 	minPressure = 0.05
