rollout: a rollback outlives a store that lost its order

Cause: an order that operators write again after a restore has another version, so a rolled back version got the canary's requests again. Change: an order of a later era with the same target and duration takes over the rollback of the one before. Measured: TestRolledBack_OrderWrittenAgainAfterARestoreStaysRolledBack fails without the change (phase running) and passes with it; go test -race ./rollout/control passes.

--- a/lib/rollout/control/control.go
+++ b/lib/rollout/control/control.go
@@ -144,6 +144,7 @@
 	// listedMembers is the number of other nodes that the last full read listed.
 	listedMembers int
 	readVersion   uint64 // of the last full read of the store, 0 for none
+	eraStart      uint64 // lowest version of the store's era, 0 if it was never restored
 	local         Peer
 	established   string // the version of the local service, as long as no order names one
 	peers         []Peer
--- a/lib/rollout/control/control_test.go
+++ b/lib/rollout/control/control_test.go
@@ -217,3 +217,38 @@
 	n.controller.ApplyUpdate(registry.NewUpdate(nil, 10, true))
 	n.awaitAdmission(t, "v7", true)
 }
+
+// TestRolledBack_OrderWrittenAgainAfterARestoreStaysRolledBack guards against a bad version
+// that gets requests again because the store came back from a copy without its order, and
+// the operators wrote the same order again.
+func TestRolledBack_OrderWrittenAgainAfterARestoreStaysRolledBack(t *testing.T) {
+	n := newNode(t, "self")
+	n.controller.SetLocalServer(control.NewPeer("self", "shop", "i-self", "v1", true))
+	n.controller.SetPeers(peers("v1", "v2"))
+	n.controller.ApplyUpdate(registry.NewUpdate([]registry.Record{order(20)}, 20, true))
+	<-n.writes
+	n.results <- nil
+	n.awaitShare(t, 0.04)
+	n.controller.Receive(rollout.NewMessage(rollout.NewOrder("shop", "v2", 5*time.Second, 20), rollout.Record{}, 0, false, true))
+	n.awaitShare(t, 0)
+	const eraStart = 1000
+	n.controller.ApplyUpdate(registry.NewUpdate(nil, eraStart+10, true).WithEraStart(eraStart))
+	n.controller.ApplyUpdate(registry.NewUpdate([]registry.Record{order(eraStart + 20)}, eraStart+20, false).WithEraStart(eraStart))
+	for {
+		next := <-n.writes
+		if next.Order() == eraStart+20 {
+			must.Eq(t, rollout.RolledBack, next.Phase())
+			break
+		}
+		n.results <- errors.New("not this one")
+	}
+	for {
+		select {
+		case p := <-n.policies:
+			must.Eq(t, 0, p["shop"].Share())
+			continue
+		case <-time.After(300 * time.Millisecond):
+		}
+		return
+	}
+}
--- a/lib/rollout/control/learn.go
+++ b/lib/rollout/control/learn.go
@@ -12,6 +12,7 @@
 // a watch: the next watch of a peer may be much later.
 func (c *Controller) applyUpdate(u registry.Update) {
 	listed, recorded, members := map[string]bool{}, map[string]bool{}, 0
+	c.eraStart = max(c.eraStart, u.EraStart())
 	for _, r := range u.Records() {
 		switch {
 		case r.Kind() == registry.KindRollout && !r.Removed():
@@ -125,6 +126,9 @@
 	if !r.Adopt(c.records[order.Service()]) {
 		r.MergeRecord(now, c.records[order.Service()])
 	}
+	if known, ok := c.rollouts[order.Service()]; ok && known.rollout.IsRolledBack() && c.isRewritten(known.rollout.Order(), order) {
+		r.RollBack()
+	}
 	c.rollouts[order.Service()] = &entry{rollout: r, inForce: c.own[order.Service()] == order.Target()}
 	if order.Service() == c.local.service {
 		c.tally = rollout.NewTally(c.local.node, c.local.release, c.local.instance)
@@ -133,6 +137,12 @@
 	return true
 }
 
+// isRewritten reports whether an order is one of an earlier era of the store that the
+// operators have written again. A rollback of that order is final.
+func (c *Controller) isRewritten(known, order rollout.Order) bool {
+	return known.Version() < c.eraStart && order.Version() >= c.eraStart && known.Target() == order.Target() && known.Duration() == order.Duration()
+}
+
 func (c *Controller) withdraw(e *entry) {
 	if e.rollout.Withdraw() {
 		c.log.Write("rollout-withdrawn", "service", e.rollout.Order().Service(), "target", e.rollout.Order().Target(), "state", e.rollout.State())
