httpclient: the test of an early answer leaves more unread than buffers hold

The server left 4 MiB of the upload unread, which the socket buffers may hold, so the upload was written to its end and the connection was rightly reusable. Change: 60 MiB are left unread; the checks are the same.

--- a/lib/httpclient/reset_test.go
+++ b/lib/httpclient/reset_test.go
@@ -101,13 +101,15 @@
 }
 
 // TestExchange_EarlyAnswerOfStatedLengthIsWhole guards against a refusal of a long upload
-// that is lost: its length shows that it is complete.
+// that is lost: its length shows that it is complete. The server leaves more unread than the
+// socket buffers of both ends may hold (tens of megabytes), so the upload can't be written to its end.
 func TestExchange_EarlyAnswerOfStatedLengthIsWhole(t *testing.T) {
+	const size = 8 * longUpload
 	c := rawServer(t, func(conn *net.TCPConn, rest *bufio.Reader) {
 		_, _ = io.WriteString(conn, "HTTP/1.1 413 x\r\nX-Request-Id: 1\r\nContent-Length: 2\r\n\r\nno")
 		_, _ = io.CopyN(io.Discard, rest, longUpload/2)
 	})
-	r := upload(c, longUpload)
+	r := upload(c, size)
 	must.Eq(t, httpclient.Answered, r.Outcome())
 	must.Eq(t, "no", string(r.Response().Body()))
 	must.False(t, r.Reusable())
