rollout: a version that fails a part of its responses at all servers is rolled back

Change: the version is bad too if the median of at least 6 target servers has 12% bad responses, well above the median old server. Measured: TestPlay_VersionThatFailsAPartUnderLoad fails without the rule and passes with it; go test ./rollout passes, good versions among them.

--- a/lib/rollout/judge.go
+++ b/lib/rollout/judge.go
@@ -34,6 +34,17 @@
 	// their requests: two that were chosen at random are both such servers once in 50
 	// times, four once in 2,600.
 	confirmingServers = 4
+	// commonRate is the rate of bad responses of the median target server from which on the
+	// version is bad although no single server is: a fault under load shows in a part of the
+	// responses of all servers. Slow and faulty servers are a minority and don't move the
+	// median. commonFactor and commonMargin raise the rate as above.
+	commonRate   = 0.12
+	commonFactor = 3.0
+	commonMargin = 0.05
+	// commonServers and commonResponses are how many servers must have how many of the
+	// newest responses: of 6 servers that lose 5 in 100, 4 have 2 bad ones once in 70 times.
+	commonServers   = 6
+	commonResponses = 12
 )
 
 // Verdict is why a version is bad: the route, "" for all together, and the counts that
@@ -128,6 +139,9 @@
 			routes[route] = true
 		}
 	}
+	if v, bad := r.judgeTogether(); bad {
+		return v, true
+	}
 	suspected := false
 	for route := range routes {
 		v := r.judgeRoute(route)
@@ -145,6 +159,30 @@
 	return Verdict{}, false
 }
 
+// judgeTogether returns whether most target servers have more bad responses than those of
+// the old version at the same time, all routes together.
+func (r *Rollout) judgeTogether() (Verdict, bool) {
+	v := Verdict{route: allRoutes, baseline: r.baseline(allRoutes), reason: "median server"}
+	var rates []float64
+	for _, t := range r.tallies {
+		c := t.routes[allRoutes]
+		if t.release != r.order.target || c.length < commonResponses {
+			continue
+		}
+		rates = append(rates, c.rate())
+		v.judged, v.bad, v.total = v.judged+1, v.bad+c.recentBad(), v.total+c.length
+		if c.recentBad() >= suspectBad {
+			v.servers++
+		}
+	}
+	if v.judged < commonServers {
+		return Verdict{}, false
+	}
+	slices.Sort(rates)
+	median := rates[(len(rates)-1)/2]
+	return v, median >= max(commonRate, commonFactor*v.baseline+commonMargin)
+}
+
 // judgeRoute counts the target servers with too many bad responses on a route.
 func (r *Rollout) judgeRoute(route string) Verdict {
 	v := Verdict{route: route, baseline: r.baseline(route)}
--- a/lib/rollout/rollout_test.go
+++ b/lib/rollout/rollout_test.go
@@ -117,6 +117,22 @@
 	}
 }
 
+// TestPlay_VersionThatFailsAPartUnderLoad has a fifth of the responses of all servers fail
+// from a load on that comes with the last steps, as when half of those fail that meet a
+// busy server. It guards against a judge that looks for servers that fail most requests.
+func TestPlay_VersionThatFailsAPartUnderLoad(t *testing.T) {
+	for seed := range uint64(seeds) {
+		w := newWorld(t, seed)
+		w.bad = func(_ time.Duration, _ int, perSecond float64) float64 {
+			if perSecond < 8 {
+				return 0.02
+			}
+			return 0.2
+		}
+		mustBeRolledBack(t, w.play(), fmt.Sprint("seed ", seed))
+	}
+}
+
 // TestPlay_VersionThatFailsOnOneRoute has one of four routes fail half of its requests.
 func TestPlay_VersionThatFailsOnOneRoute(t *testing.T) {
 	for seed := range uint64(seeds) {
