quota: refused callers return within their objective

Cause: Retry-After of a 429 was spread over 1 s for all callers, so those that came back and were admitted were late, while they took the credits of others. A tenant that stays above its limit has no spare credit. Change: the spread is the time that the caller can wait and still meet the objective of its route, from 100 ms to 1 s.

--- a/lib/dispatch/quota.go
+++ b/lib/dispatch/quota.go
@@ -18,10 +18,6 @@
 	// minQuotaRetryAfter is the shortest Retry-After time of such a call. The nodes ask an
 	// owner again after 50 ms.
 	minQuotaRetryAfter = 50 * time.Millisecond
-	// quotaRetryJitter spreads out the refused callers of a tenant. A flood of 7 times the
-	// usual demand has more than three requests too many for each that is admitted, so
-	// the callers are to come back over at least a second.
-	quotaRetryJitter = time.Second
 )
 
 // UseQuotas has calls with a tenant take a credit, which begin takes or asks for. It must
@@ -56,12 +52,23 @@
 	}
 	p.isOverQuota, p.reason = true, quotaReason(p.plan.tenant.Name(), v)
 	p.fire(eventExhausted)
-	p.retryAfter = max(v.RetryAfter(), minQuotaRetryAfter) + rand.N(quotaRetryJitter)
+	earliest := max(v.RetryAfter(), minQuotaRetryAfter)
+	p.retryAfter = earliest + rand.N(quota.RetrySpread(p.slackAfter(earliest)))
 	response := p.errorResponse(http.StatusTooManyRequests, outcomeOverQuota, p.reason)
 	response.Header().Set("Retry-After", strconv.FormatFloat(p.retryAfter.Seconds(), 'f', 3, 64))
 	return response, false
 }
 
+// slackAfter returns how long the call could wait beyond the given time and still meet the
+// latency objective of its route.
+func (p *pendingCall) slackAfter(wait time.Duration) time.Duration {
+	objective := p.plan.route.LatencyObjective()
+	if objective == 0 {
+		objective = p.call.timeLeft
+	}
+	return objective - p.router.clock.Since(p.call.received) - p.plan.meanLatency - wait
+}
+
 // quotaReason says what decided that a call is above its tenant's limit.
 func quotaReason(tenant string, v quota.Verdict) string {
 	by := "the owner " + v.Owner()
