fix(quota): each question times out at its own time

Cause: a question without an answer stays open for 500 ms and is looked at again at 200 and 500 ms. First looks were appended behind these later times, and the task waited for the first one, so a question asked meanwhile got its fallback up to 460 ms after it was asked, in place of 40 ms. Change: times are inserted in order; the task replaces its timer if an earlier time is added, and stops it when it ends. Measured: the next time-out of a question asked 50 ms after another one without an answer is at 90 ms, before at 200 ms; a request to a silent owner is settled after 200 ms while an older question is open, before not within the 5 s of the test. go test -race ./quota/... passes.

--- a/lib/quota/controller/controller.go
+++ b/lib/quota/controller/controller.go
@@ -75,7 +75,8 @@
 	peers    map[string]func(quota.Question) bool
 	waiting  map[uint64]task.Reply[quota.Verdict]
 	refusals map[string]*refusals
-	timeout  <-chan time.Time
+	timer    clockwork.Timer // nil if no question is open
+	timerDue time.Time
 }
 
 // refusals are the refusals of a tenant that were not logged yet.
@@ -163,6 +164,7 @@
 // run serves messages until the context ends.
 func (c *Controller) run(ctx context.Context) {
 	defer c.inbox.Close()
+	defer c.stopTimer()
 	if m := c.membership.Load(); m != nil {
 		c.setMembership(c.clock.Now(), m)
 	}
@@ -184,26 +186,37 @@
 		}
 		c.log.WritePanic("quotas", e)
 	})
+	var timeout <-chan time.Time
+	if c.timer != nil {
+		timeout = c.timer.Chan()
+	}
 	select {
 	case <-ctx.Done():
 		return
 	case m = <-c.inbox.Messages():
 		c.handle(m)
-	case <-c.timeout:
-		c.timeout = nil
+	case <-timeout:
+		c.timer = nil
 		c.node.Expire(c.clock.Now())
 	}
-	c.setTimeout()
+	c.setTimer()
 }
 
-// setTimeout waits for the next question that is not answered in time. A wait for an
-// earlier question, answered meanwhile, is not cut short: its end does nothing.
-func (c *Controller) setTimeout() {
-	if c.timeout != nil {
+// setTimer waits for the next question that is not answered in time. A wait for an earlier
+// question, answered meanwhile, is not cut short: its end does nothing.
+func (c *Controller) setTimer() {
+	due, ok := c.node.NextTimeout()
+	if !ok || c.timer != nil && !due.Before(c.timerDue) {
 		return
 	}
-	if due, ok := c.node.NextTimeout(); ok {
-		c.timeout = c.clock.After(due.Sub(c.clock.Now()))
+	c.stopTimer()
+	c.timer, c.timerDue = c.clock.NewTimer(due.Sub(c.clock.Now())), due
+}
+
+func (c *Controller) stopTimer() {
+	if c.timer != nil {
+		c.timer.Stop()
+		c.timer = nil
 	}
 }
 
--- a/lib/quota/controller/controller_test.go
+++ b/lib/quota/controller/controller_test.go
@@ -226,3 +226,37 @@
 		claim.Release()
 	}
 }
+
+// TestOwnersThatDoNotAnswer_EachQuestionTimesOutByItself guards against a task that waits for
+// a late time-out of one question while an earlier one of another question is due.
+func TestOwnersThatDoNotAnswer_EachQuestionTimesOutByItself(t *testing.T) {
+	f := newFixture(t)
+	f.withPeer()
+	first, second := ownedBy("b"), ""
+	v := quota.NewView("a", []string{"b"}, 2, false)
+	for second = first + "t"; v.Owner(second) != "b"; second += "t" {
+		continue
+	}
+	f.Configure([]quota.Limit{quota.NewLimit(first, 0.01, 1), quota.NewLimit(second, 0.01, 1)})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	advance := func(d time.Duration) {
+		must.NoError(t, f.clock.BlockUntilContext(ctx, 1))
+		f.clock.Advance(d)
+	}
+	begin := func(tenant string) controller.Claim {
+		c := f.Begin(tenant)
+		<-f.questions
+		f.Configure([]quota.Limit{quota.NewLimit(first, 0.01, 1), quota.NewLimit(second, 0.01, 1)}) // the task has handled the request
+		return c
+	}
+	silent := begin(first)
+	advance(40 * time.Millisecond)
+	advance(160 * time.Millisecond)
+	must.False(t, func() bool { v := wait(t, &silent); return v.Admitted() }())
+	// The next look at that question is 300 ms later, the last one at this question 200 ms.
+	late := begin(second)
+	advance(40 * time.Millisecond)
+	advance(160 * time.Millisecond)
+	must.False(t, func() bool { v := wait(t, &late); return v.Admitted() }())
+}
--- a/lib/quota/faults_test.go
+++ b/lib/quota/faults_test.go
@@ -94,3 +94,43 @@
 	_, ok = account.Take(now)
 	must.False(t, ok)
 }
+
+// askingNode returns a node that is linked to one other, and the questions that it sends.
+func askingNode(now time.Time, settle func(id uint64, v quota.Verdict)) (*quota.Node, *[]quota.Question) {
+	asked := &[]quota.Question{}
+	n := quota.NewNode(now, "self", bounds, func(_ string, q quota.Question) bool {
+		*asked = append(*asked, q)
+		return true
+	}, settle, quota.NewObserver(func(quota.Source, int) {}, func(string, quota.Verdict) {}, func(int) {}))
+	n.SetView(now, quota.NewView("self", []string{"other"}, 2, false))
+	return n, asked
+}
+
+// ownedByOther returns tenants that the other node of askingNode owns.
+func ownedByOther(count int) []string {
+	v := quota.NewView("self", []string{"other"}, 2, false)
+	var tenants []string
+	for name := "a"; len(tenants) < count; name += "a" {
+		if v.Owner(name) == "other" {
+			tenants = append(tenants, name)
+		}
+	}
+	return tenants
+}
+
+// TestQuestionWithoutAnswer_DoesNotDelayTheFallbackOfOthers guards against requests that wait
+// for a silent owner longer than its answer may take, since an earlier question without an
+// answer is looked at later.
+func TestQuestionWithoutAnswer_DoesNotDelayTheFallbackOfOthers(t *testing.T) {
+	start := time.Unix(1e9, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	n, _ := askingNode(start, func(uint64, quota.Verdict) {})
+	tenants := ownedByOther(2)
+	n.Configure(start, []quota.Limit{quota.NewLimit(tenants[0], 100, 100), quota.NewLimit(tenants[1], 100, 100)})
+	n.Request(start, tenants[0], 1)
+	n.Expire(at(40)) // the next look is due at 200 ms
+	n.Request(at(50), tenants[1], 2)
+	due, ok := n.NextTimeout()
+	must.True(t, ok)
+	must.Eq(t, at(90), due)
+}
--- a/lib/quota/silence.go
+++ b/lib/quota/silence.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // timeout is the next time at which an open question is looked at.
 type timeout struct {
@@ -10,7 +13,7 @@
 
 // addTimeout schedules the first look at a question.
 func (n *Node) addTimeout(now time.Time, open *openQuestion) {
-	n.timeouts = append(n.timeouts, timeout{due: now.Add(answerTimeout), number: open.number})
+	n.insertTimeout(timeout{due: now.Add(answerTimeout), number: open.number})
 }
 
 // NextTimeout returns when Expire must be called, or false if no question is open.
@@ -45,7 +48,11 @@
 	if age >= creditLifetime {
 		delete(n.open, open.number)
 	} else {
-		n.insertTimeout(open, age)
+		next := refusalTimeout
+		if age >= refusalTimeout {
+			next = creditLifetime
+		}
+		n.insertTimeout(timeout{due: open.askedAt.Add(next), number: open.number})
 	}
 	w, ok := n.wallets[open.tenant]
 	if !ok || w.question != open {
@@ -61,20 +68,14 @@
 	n.fallBack(now, w, false)
 }
 
-// insertTimeout schedules the next look at a question of the given age.
-func (n *Node) insertTimeout(open *openQuestion, age time.Duration) {
-	next := refusalTimeout
-	if age >= refusalTimeout {
-		next = creditLifetime
-	}
-	t := timeout{due: open.askedAt.Add(next), number: open.number}
+// insertTimeout adds a timeout in order of time. It goes behind most others: a first look is
+// later than other first looks, and earlier only than further looks at older questions.
+func (n *Node) insertTimeout(t timeout) {
 	i := len(n.timeouts)
 	for i > 0 && n.timeouts[i-1].due.After(t.due) {
 		i--
 	}
-	n.timeouts = append(n.timeouts, timeout{})
-	copy(n.timeouts[i+1:], n.timeouts[i:])
-	n.timeouts[i] = t
+	n.timeouts = slices.Insert(n.timeouts, i, t)
 }
 
 // goSilent records that no owner answers since the given time, and decides on the waiting
