fix(quota): no 429 for credits that came in time

Cause: after a process has stood still, an answer and the time-out of its question are both due. If the time-out was handled first, the waiting requests were refused by the fallback; if the answer was later than the lifetime of its credits, they were refused in the name of the owner, which had granted them. Change: messages in the inbox are handled before a time-out, and credits that lapsed on the way make the node ask again. Measured: both tests fail without the change (one verdict, a refusal, in place of a second question; a refusal within 20 rounds) and pass with it, with -race.

--- a/lib/quota/controller/controller.go
+++ b/lib/quota/controller/controller.go
@@ -197,6 +197,11 @@
 		c.handle(m)
 	case <-timeout:
 		c.timer = nil
+		// If the process stood still, answers may have come in time and wait here.
+		for range c.inbox.Len() {
+			m = <-c.inbox.Messages()
+			c.handle(m)
+		}
 		c.node.Expire(c.clock.Now())
 	}
 	c.setTimer()
--- a/lib/quota/controller/controller_test.go
+++ b/lib/quota/controller/controller_test.go
@@ -260,3 +260,25 @@
 	advance(160 * time.Millisecond)
 	must.False(t, func() bool { v := wait(t, &late); return v.Admitted() }())
 }
+
+// TestAnswerThatWaitsForTheTask_ComesBeforeTheTimeOut guards against 429 for requests whose
+// credits have arrived, because the task stood still until the time for the answer was over.
+func TestAnswerThatWaitsForTheTask_ComesBeforeTheTimeOut(t *testing.T) {
+	for range 20 {
+		f := newFixture(t)
+		f.withPeer()
+		f.Configure([]quota.Limit{quota.NewLimit(ownedBy("b"), 0.01, 1)})
+		claim := f.Begin(ownedBy("b"))
+		q := <-f.questions
+		blocked, release := make(chan bool), make(chan bool)
+		f.HandleQuestion(quota.NewQuestion(1, ownedBy("a"), 1, 1, false), func(quota.Answer) {
+			blocked <- true
+			<-release
+		})
+		<-blocked
+		f.clock.Advance(250 * time.Millisecond)
+		f.HandleAnswer(quota.NewAnswer(q.Number(), 1, 0, true))
+		release <- true
+		must.True(t, func() bool { v := wait(t, &claim); return v.Admitted() }())
+	}
+}
--- a/lib/quota/faults_test.go
+++ b/lib/quota/faults_test.go
@@ -134,3 +134,22 @@
 	must.True(t, ok)
 	must.Eq(t, at(90), due)
 }
+
+// TestAnswerAfterAPause_IsNoRefusal guards against 429 for requests whose credits were granted
+// in time, and lapsed because this process stood still: the answer and the time-out are then
+// both due, in either order.
+func TestAnswerAfterAPause_IsNoRefusal(t *testing.T) {
+	start := time.Unix(1e9, 0)
+	var verdicts []quota.Verdict
+	n, asked := askingNode(start, func(_ uint64, v quota.Verdict) { verdicts = append(verdicts, v) })
+	tenant := ownedByOther(1)[0]
+	n.Configure(start, []quota.Limit{quota.NewLimit(tenant, 100, 100)})
+	n.Request(start, tenant, 1)
+	now := start.Add(700 * time.Millisecond)
+	n.HandleAnswer(now, quota.NewAnswer((*asked)[0].Number(), 1, 0, true))
+	must.Eq(t, 0, len(verdicts))
+	must.Eq(t, 2, len(*asked))
+	n.HandleAnswer(now, quota.NewAnswer((*asked)[1].Number(), 1, 0, true))
+	must.Eq(t, 1, len(verdicts))
+	must.True(t, verdicts[0].Admitted())
+}
--- a/lib/quota/node.go
+++ b/lib/quota/node.go
@@ -214,6 +214,7 @@
 }
 
 // applyAnswer gives the credits of an answer to the waiting requests, and keeps the rest.
+// Credits that lapsed on the way are no refusal: the owner is asked again.
 func (n *Node) applyAnswer(now time.Time, w *wallet, open *openQuestion, a Answer) {
 	isCurrent := w.question == nil || w.question == open
 	if isCurrent {
@@ -233,7 +234,8 @@
 		w.granted, w.grantedAt = a.granted, now
 		n.observer.granted(FromOwner, a.granted)
 	}
-	if !now.Before(expiresAt) {
+	lapsed := a.granted > 0 && !now.Before(expiresAt)
+	if lapsed {
 		a.granted = 0
 	}
 	used := min(a.granted, len(w.waiting))
@@ -243,7 +245,7 @@
 		n.settle(id, v)
 	}
 	w.account.Add(now, a.granted-used, expiresAt)
-	if a.granted > 0 || !isCurrent {
+	if a.granted > 0 || lapsed || !isCurrent {
 		if len(w.waiting) > 0 && w.question == nil {
 			n.ask(now, w)
 		}
