fix(quota): a huge limit refuses nothing

Cause: the tokens of a bucket were converted to an integer that cannot hold 1e19 or more, and the margin of the bound was infinity less infinity, so a tenant with such a rate and burst got 429 for every request. Change: a rate and a burst above 1e9 count as 1e9, which is more than all servers can serve. Measured: the test fails without the change (0 credits at a rate and a burst of 1e19) and passes with it for 1e9, 1e19 and the largest number.

--- a/lib/quota/bounds.go
+++ b/lib/quota/bounds.go
@@ -22,6 +22,9 @@
 	startPeriod = 250 * time.Millisecond
 	// minStart is the smallest number of start tokens.
 	minStart = 3.0
+	// maxRequests bounds a rate and a burst, so that every count of tokens is an integer. It
+	// is more than all servers together can serve.
+	maxRequests = 1e9
 	// takeoverTokens is what an owner begins with that takes over from another one, since
 	// the tokens that the other one had left are not known.
 	takeoverTokens = 1.0
@@ -70,9 +73,9 @@
 }
 
 // NewLimit returns the limit of a tenant in requests per second, and the requests
-// beyond it.
+// beyond it. Numbers above maxRequests count as that many.
 func NewLimit(tenant string, rate, burst float64) Limit {
-	return Limit{tenant: tenant, rate: rate, burst: burst}
+	return Limit{tenant: tenant, rate: min(rate, maxRequests), burst: min(burst, maxRequests)}
 }
 
 // Tenant returns the name of the tenant.
--- a/lib/quota/faults_test.go
+++ b/lib/quota/faults_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -153,3 +154,19 @@
 	must.Eq(t, 1, len(verdicts))
 	must.True(t, verdicts[0].Admitted())
 }
+
+// TestHugeLimit_RefusesNothing guards against numbers of tokens that no integer holds: a
+// rate of that size stands for no limit.
+func TestHugeLimit_RefusesNothing(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	for _, rate := range []float64{1e9, 1e19, math.MaxFloat64} {
+		for _, burst := range []float64{0, 1e19, math.MaxFloat64} {
+			o := quota.NewOwner(bounds)
+			l := quota.NewLimit("a", rate, burst)
+			o.Configure(now, map[string]quota.Limit{"a": l})
+			v := quota.NewView("self", nil, 1, false)
+			a := o.Answer(now.Add(time.Second), &v, quota.NewQuestion(1, "a", 1, 100, false))
+			must.Positive(t, a.Granted(), must.Sprint(rate, burst))
+		}
+	}
+}
