fix(quota): refusals of removed tenants are forgotten

Cause: the task kept the refusals that were not logged yet by tenant and never removed one, so they grew with the tenants that came and went, and the first refusal of a tenant that was added again was counted with those of before, or not logged. Change: a configuration removes those of tenants without a limit. Measured: the test fails without the change (one log line for two tenants of one name) and passes with it; go test -race ./quota/controller passes.

--- a/lib/quota/controller/controller.go
+++ b/lib/quota/controller/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -231,6 +232,7 @@
 	case m.limits != nil:
 		accounts := c.node.Configure(now, m.limits.limits)
 		c.accounts.Store(&accounts)
+		maps.DeleteFunc(c.refusals, func(tenant string, _ *refusals) bool { return accounts[tenant] == nil })
 		m.limits.reply <- true
 	case m.membership != nil:
 		c.setMembership(now, m.membership)
--- a/lib/quota/controller/controller_test.go
+++ b/lib/quota/controller/controller_test.go
@@ -1,8 +1,10 @@
 package controller_test
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -282,3 +284,35 @@
 		must.True(t, func() bool { v := wait(t, &claim); return v.Admitted() }())
 	}
 }
+
+// TestRemovedTenant_IsForgotten guards against refusals of a removed tenant that stay in memory,
+// and are logged as those of a later tenant of that name.
+func TestRemovedTenant_IsForgotten(t *testing.T) {
+	var text bytes.Buffer
+	clock := clockwork.NewFakeClock()
+	log := eventlog.New(&text, clock, "a")
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	c := controller.New(func(run func(context.Context)) {
+		go func() {
+			run(ctx)
+			close(ended)
+		}()
+	}, controller.NewConfig("a", bounds), clock, log, controller.NewObserver(func(quota.Source, int) {}, func(quota.Source) {}, func(int) {}))
+	c.SetMembership(controller.NewMembership(nil, 1, false))
+	limits := []quota.Limit{quota.NewLimit("band", 1, 1)}
+	for range 2 {
+		c.Configure(limits)
+		for range 10 {
+			claim := c.Begin("band")
+			_ = wait(t, &claim)
+		}
+		c.Configure(nil)
+	}
+	cancel()
+	<-ended
+	log.Run(ctx)
+	// Three requests are admitted at the start; the refusals after the first one wait for the
+	// next line.
+	must.Eq(t, 2, strings.Count(text.String(), `"refused":1`), must.Sprint(text.String()))
+}
