fix(dispatch): a key is checked after the wait for a credit

Cause: a call with a slot checked its API key and then waited up to 200 ms for the answer of its tenant's owner. A key that was removed meanwhile was not noticed: the call was sent, or got 429. If the whole tenant was removed, the wait ended with the verdict that there is no limit. Change: the key is checked once more after the wait, and a refused call with a removed key gets 401.

--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -180,14 +180,15 @@
 		if !ok {
 			return p.endWithoutSlot()
 		}
-		if p.isHeld() || !p.mayStillBeSent() {
-			offer.event.Endpoint().Withdraw(offer.event.Number())
-			return p.endWithoutSlot()
-		}
 		if response, ok := p.awaitCredit(ctx); !ok {
 			offer.event.Endpoint().Withdraw(offer.event.Number())
 			return response
 		}
+		// Checked last: a request may be held, and its key removed, while it waits.
+		if p.isHeld() || !p.mayStillBeSent() {
+			offer.event.Endpoint().Withdraw(offer.event.Number())
+			return p.endWithoutSlot()
+		}
 		p.fire(eventSend)
 		end := p.execute(ctx, offer)
 		response, again := p.handleAttemptEnd(ctx, end, reservations)
--- a/lib/dispatch/quota.go
+++ b/lib/dispatch/quota.go
@@ -53,6 +53,8 @@
 	case !ok:
 		p.reason, p.retryAfter = "no credit in time", 0
 		return p.endWithoutSlot(), false
+	case p.keyState() == keyRemoved:
+		return p.endWithoutSlot(), false
 	}
 	p.isOverQuota, p.reason = true, quotaReason(p.plan.tenant.Name(), v)
 	p.fire(eventExhausted)
--- a/lib/dispatch/quota_test.go
+++ b/lib/dispatch/quota_test.go
@@ -130,3 +130,49 @@
 	statuses, _ := a.serveAll(r, 3)
 	must.Eq(t, 3, statuses[http.StatusOK])
 }
+
+// TestServe_KeyRemovedWhileWaitingForCredit guards against a request that is sent although its
+// key was removed while it waited for the answer of its tenant's owner, and against 429, after
+// which the caller would come back, where the key is no longer valid.
+func TestServe_KeyRemovedWhileWaitingForCredit(t *testing.T) {
+	name, v := "choir", quota.NewView("self", []string{"other"}, 2, false)
+	for v.Owner(name) != "other" {
+		name += "r"
+	}
+	for outcome, settle := range map[string]func(c *controller.Controller, q quota.Question){
+		"credit granted": func(c *controller.Controller, q quota.Question) {
+			c.HandleAnswer(quota.NewAnswer(q.Number(), 1, 0, true))
+		},
+		"credit refused": func(c *controller.Controller, q quota.Question) {
+			c.HandleAnswer(quota.NewAnswer(q.Number(), 0, time.Second, true))
+		},
+		"tenant removed": func(c *controller.Controller, _ quota.Question) { c.Configure(nil) },
+	} {
+		rig := newTenantRig(t, routeconfig.NewTenant(name, []string{"key-1"}))
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		clock, questions := clockwork.NewFakeClock(), make(chan quota.Question, 1)
+		c := controller.New(func(run func(context.Context)) { go run(ctx) }, controller.NewConfig("self", quota.NewBounds(5*time.Second, 0.1, 20)), clock,
+			rig.events, controller.NewObserver(func(quota.Source, int) {}, func(quota.Source) {}, func(int) {}))
+		c.SetMembership(controller.NewMembership(map[string]func(quota.Question) bool{"other": func(q quota.Question) bool {
+			questions <- q
+			return true
+		}}, 2, false))
+		c.Configure([]quota.Limit{quota.NewLimit(name, 100, 100)})
+		rig.router.UseQuotas(c.Begin)
+		done := make(chan *upstream.Response, 1)
+		go func() { done <- rig.router.Serve(context.Background(), tenantCall("/read/1", "id", "key-1")) }()
+		q := <-questions
+		<-rig.server.slotRequests
+		time.Sleep(20 * time.Millisecond) // the slot is offered, and the call waits for its credit
+		rig.router.SetSnapshot(fleet.NewSnapshot(6, tenantConfig(2, otherChoir())))
+		rig.router.Dump(context.Background())
+		settle(c, q)
+		must.Eq(t, http.StatusUnauthorized, (<-done).Status(), must.Sprint(outcome))
+		must.Eq(t, 0, len(rig.server.submitted), must.Sprint(outcome))
+		must.Eq(t, 1, len(rig.server.withdrawn), must.Sprint(outcome))
+	}
+}
+
+// otherChoir is a tenant that has none of the keys of other tests.
+func otherChoir() routeconfig.Tenant { return routeconfig.NewTenant("second choir", []string{"key-7"}) }
