fix(dispatch): a hedge that was sent is not refunded

Cause: a call kept the mark of a hedge taken from the share after it was sent. When the second send failed and the first one ended later, or a replacement for a silent node found no slot, the hedge was given back although a server had got it, so failing servers got hedges beyond the share. Change: the mark is cleared when the hedge is sent; whether it counts as a hedge for the metrics is kept apart.

--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -101,9 +101,12 @@
 	// if it is not known.
 	callerRoute    string
 	callerPriority int
-	hedgeTaken     bool
-	hedgeWon       bool
-	hedgeDenied    string
+	// hedgeTaken is whether a hedge was taken from the share and is not sent yet, and
+	// hedgeSent whether the second send is one.
+	hedgeTaken  bool
+	hedgeSent   bool
+	hedgeWon    bool
+	hedgeDenied string
 	// failedResponse is the error response of an earlier attempt, and
 	// uncertainReason the reason why the outcome of an earlier attempt is
 	// unknown. The call ends with them if no further slot is found.
--- a/lib/dispatch/hedgelimit.go
+++ b/lib/dispatch/hedgelimit.go
@@ -159,7 +159,7 @@
 	}
 }
 
-// refundHedge returns a hedge that was taken, and reports whether one was.
+// refundHedge returns a hedge that was taken and not sent, and reports whether there was one.
 func (p *pendingCall) refundHedge() bool {
 	if !p.hedgeTaken {
 		return false
@@ -175,7 +175,8 @@
 	request := p.call.request.WithDeadline(p.deadline)
 	if p.plan.hedgesLimited {
 		request = request.AsHedge()
-		if p.hedgeTaken {
+		p.hedgeSent, p.hedgeTaken = p.hedgeTaken, false
+		if p.hedgeSent {
 			p.router.observer.hedged(p.plan.service, HedgeSent, "")
 		}
 	}
@@ -191,7 +192,7 @@
 	}
 	p.hedgeWon = true
 	p.sendHedging(hedgingMessage{latency: &latencyMessage{route: routeKey(p.plan.route), latency: p.router.clock.Since(started)}})
-	if p.hedgeTaken {
+	if p.hedgeSent {
 		p.router.observer.hedged(p.plan.service, HedgeWon, "")
 	}
 }
--- a/lib/dispatch/hedgelimit_test.go
+++ b/lib/dispatch/hedgelimit_test.go
@@ -161,3 +161,28 @@
 	must.Eq(t, before, counts.sent.Load())
 	must.Positive(t, counts.chain.Load())
 }
+
+// TestServe_HedgeThatFailsIsNotRefunded guards against a share that is exceeded since hedges
+// count only if they succeed.
+func TestServe_HedgeThatFailsIsNotRefunded(t *testing.T) {
+	delay := func(id string) time.Duration {
+		if strings.HasPrefix(id, "late") {
+			return 150 * time.Millisecond
+		}
+		return 5 * time.Millisecond
+	}
+	a, b := newFakeServer("a", "shop", 1), newFakeServer("b", "shop", 1.5)
+	a.respondAfter(t, delay)
+	b.finalEvent = respondWith(http.StatusInternalServerError)
+	var counts hedgeCounts
+	r := newLimitedRouter(t, 0.02, &counts, a, b)
+	for n := range 60 {
+		must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/read/1", fmt.Sprint("id-", n))).Status())
+	}
+	before := len(b.submitted)
+	for n := range 10 {
+		must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/read/1", fmt.Sprint("late-", n))).Status())
+	}
+	must.LessEq(t, 1, len(b.submitted)-before)
+	must.Positive(t, counts.share.Load())
+}
