fix(dispatch): hedges stay out of far data centres

Cause: hedges left out far servers only while the search distinguished them from servers here. If the first send was at the only server of this data centre, all others counted as candidates alike, and the hedge crossed to a far one. Change: a candidate knows whether its data centre is far, and hedges within a share leave those out. A second send that replaces one to a silent node still goes there, and without the setting nothing changes.

--- a/lib/dispatch/distance.go
+++ b/lib/dispatch/distance.go
@@ -66,8 +66,12 @@
 	c := candidate{endpoint: s.endpoint, distanceFactor: r.distanceFactor(s)}
 	if r.distances != nil && s.dataCentre != r.config.dataCentre {
 		c.dataCentre = s.dataCentre
-		if r.distances.trips.Distance(now, s.dataCentre) == locality.Unmeasured {
+		switch r.distances.trips.Distance(now, s.dataCentre) {
+		case locality.Unmeasured:
 			c.replyWithin = measuringWindow
+		case locality.Far:
+			c.distant = true
+		case locality.Near:
 		}
 	}
 	return c
--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -229,7 +229,7 @@
 func (p *pendingCall) reserveHedge(ctx context.Context, exclude []string, request upstream.SlotRequest, maxCost float64, found chan<- offer) {
 	defer close(found)
 	defer task.Catch(func(e *task.PanicError) { p.router.log.WritePanic("hedge", e) })
-	candidates := withoutOverflow(p.candidatesExcept(ctx, exclude, request.Release()))
+	candidates := p.hedgeCandidates(p.candidatesExcept(ctx, exclude, request.Release()), maxCost)
 	if len(candidates) == 0 {
 		return
 	}
--- a/lib/dispatch/hedgelimit.go
+++ b/lib/dispatch/hedgelimit.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"time"
 
 	"savorygap.example/lib/hedge"
@@ -141,6 +143,17 @@
 	return true
 }
 
+// hedgeCandidates returns those of the candidates that a second send may use. If hedges are
+// limited, it goes to no far data centre, even if there is no other server here, unless it
+// replaces the send to a silent node, for which no cost is too high.
+func (p *pendingCall) hedgeCandidates(candidates []candidate, maxCost float64) []candidate {
+	candidates = withoutOverflow(candidates)
+	if !p.plan.hedgesLimited || math.IsInf(maxCost, 1) {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(c candidate) bool { return c.distant })
+}
+
 // denyHedge records why a hedge is not sent.
 func (p *pendingCall) denyHedge(reason string) {
 	p.hedgeDenied = reason
--- a/lib/dispatch/hedgelimit_test.go
+++ b/lib/dispatch/hedgelimit_test.go
@@ -25,7 +25,7 @@
 
 // hedgeCounts counts what the observer of a router receives.
 type hedgeCounts struct {
-	sent, won, share, chain, knee atomic.Int64
+	sent, won, share, chain, knee, noSlot atomic.Int64
 }
 
 func (c *hedgeCounts) count(_, event, reason string) {
@@ -40,17 +40,24 @@
 		c.chain.Add(1)
 	case "denied knee":
 		c.knee.Add(1)
+	case "denied no-slot":
+		c.noSlot.Add(1)
 	}
 }
 
 // newLimitedRouter returns a router whose hedges are limited to a share of the requests.
 func newLimitedRouter(t testing.TB, share float64, counts *hedgeCounts, servers ...*fakeServer) *dispatch.Router {
+	t.Helper()
+	config := dispatch.NewConfig("self", "none", "north", dispatch.NewRetryLimits(0.2, 1000, time.Second)).WithHedging(share, 0.95)
+	return newLimitedRouterOf(t, config, counts, servers...)
+}
+
+func newLimitedRouterOf(t testing.TB, config dispatch.Config, counts *hedgeCounts, servers ...*fakeServer) *dispatch.Router {
 	t.Helper()
 	charts, err := chart.Embedded()
 	must.NoError(t, err)
 	clock := clockwork.NewRealClock()
 	observer := dispatch.NewObserver(func(string, string, time.Duration) {}, func(string) {}, func(quarantine.Record) {}).WithHedges(counts.count)
-	config := dispatch.NewConfig("self", "none", "north", dispatch.NewRetryLimits(0.2, 1000, time.Second)).WithHedging(share, 0.95)
 	r, err := dispatch.NewRouter(config, charts, clock, eventlog.New(io.Discard, clock, "self"), observer)
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -61,7 +68,7 @@
 	r.SetSnapshot(fleet.NewSnapshot(5, routeconfig.New(1, routes, nil, routeconfig.DefaultLimits())))
 	var peers []fleet.Peer
 	for _, s := range servers {
-		peers = append(peers, fleet.NewPeer(s.node, "north", link.NewServerState(s.service, "i-"+s.node, true), s.endpoint))
+		peers = append(peers, fleet.NewPeer(s.node, s.dataCentre, link.NewServerState(s.service, "i-"+s.node, true), s.endpoint))
 	}
 	r.SetPeers(peers)
 	return r
@@ -186,3 +193,36 @@
 	must.LessEq(t, 1, len(b.submitted)-before)
 	must.Positive(t, counts.share.Load())
 }
+
+// TestServe_HedgesStayInThisDataCentre guards against a hedge that is sent to a far data centre
+// because this one has no second server.
+func TestServe_HedgesStayInThisDataCentre(t *testing.T) {
+	late := func(id string) time.Duration {
+		if strings.HasPrefix(id, "late") {
+			return 200 * time.Millisecond
+		}
+		return 5 * time.Millisecond
+	}
+	here, far := newFakeServer("here", "shop", 1), newFakeServer("far", "shop", 1)
+	here.respondAfter(t, late)
+	far.respondAfter(t, late)
+	far.dataCentre = "south"
+	near := far.endpoint
+	far.endpoint = upstream.NewEndpoint("far", func(number uint64, r upstream.SlotRequest, events chan<- upstream.Event) {
+		time.AfterFunc(farRoundTrip, func() { near.Reserve(number, r, events) })
+	}, func(number uint64) { time.AfterFunc(farRoundTrip, func() { near.Withdraw(number) }) }, near.Submit, near.Cancel)
+	var counts hedgeCounts
+	config := dispatch.NewConfig("self", "none", "north", dispatch.NewRetryLimits(0.2, 1000, time.Second)).
+		WithHedging(0.5, 0.95).WithFarRoundTrip(5 * time.Millisecond)
+	r := newLimitedRouterOf(t, config, &counts, here, far)
+	for n := range 60 {
+		must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/read/1", fmt.Sprint("id-", n))).Status())
+	}
+	time.Sleep(4 * farRoundTrip)
+	before := counts.sent.Load()
+	for n := range 3 {
+		must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/read/1", fmt.Sprint("late-", n))).Status())
+	}
+	must.Eq(t, before, counts.sent.Load())
+	must.Positive(t, counts.noSlot.Load())
+}
--- a/lib/dispatch/messages.go
+++ b/lib/dispatch/messages.go
@@ -108,6 +108,7 @@
 	endpoint       *upstream.Endpoint
 	distanceFactor float64
 	dataCentre     string        // "" for this node's own, or if distances do not matter
+	distant        bool          // in a far data centre
 	far            bool          // in a far data centre, while there are servers here
 	overflow       bool          // asked only if nothing here is free
 	roundTrip      time.Duration // of a far server
