fix(hedge): only calls of a hedge count as such

Cause: a nested call counted as belonging to a hedge if its id began with that of the hedge, so calls of request c1-12 were not hedged while c1-1 ran as a hedge at the server on this host. Change: the relation between ids is asked of the platform, as the server proxy does. Measured: the case added to TestCallsOfAHedge_AreNotHedged is denied without the change and granted with it; go test -race of hedges in lib/hedge and lib/dispatch passes.

--- a/lib/dispatch/hedgelimit.go
+++ b/lib/dispatch/hedgelimit.go
@@ -33,6 +33,14 @@
 	return c
 }
 
+// WithNesting returns the settings with a function that reports whether the id of a call says
+// that the request with the id parent makes it while it runs. Without it, calls that belong to
+// a hedge are not recognised.
+func (c Config) WithNesting(isNestedIn func(id, parent string) bool) Config {
+	c.isNestedIn = isNestedIn
+	return c
+}
+
 // WithHedges returns the observer with a function that is called for each hedge that is
 // sent, wins, or is denied for a reason, while hedges are limited.
 func (o Observer) WithHedges(hedged func(service, event, reason string)) Observer {
@@ -99,7 +107,7 @@
 	if c.hedgingShare <= 0 {
 		return nil
 	}
-	return hedge.New(c.hedgingShare, c.hedgingQuantile)
+	return hedge.New(c.hedgingShare, c.hedgingQuantile, c.isNestedIn)
 }
 
 // limitHedges adds the delay of hedges to the plan of a call if they are limited.
--- a/lib/dispatch/hedgelimit_test.go
+++ b/lib/dispatch/hedgelimit_test.go
@@ -48,7 +48,8 @@
 // newLimitedRouter returns a router whose hedges are limited to a share of the requests.
 func newLimitedRouter(t testing.TB, share float64, counts *hedgeCounts, servers ...*fakeServer) *dispatch.Router {
 	t.Helper()
-	config := dispatch.NewConfig("self", "none", "north", dispatch.NewRetryLimits(0.2, 1000, time.Second)).WithHedging(share, 0.95)
+	config := dispatch.NewConfig("self", "none", "north", dispatch.NewRetryLimits(0.2, 1000, time.Second)).WithHedging(share, 0.95).
+		WithNesting(func(id, parent string) bool { return strings.HasPrefix(id, parent+".") })
 	return newLimitedRouterOf(t, config, counts, servers...)
 }
 
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -79,12 +79,14 @@
 
 	hedgingShare    float64
 	hedgingQuantile float64
+	// See WithNesting.
+	isNestedIn func(id, parent string) bool
 }
 
 // NewConfig returns the settings of the router on a node next to a server of
 // service.
 func NewConfig(node, service, dataCentre string, retryLimits RetryLimits) Config {
-	return Config{node: node, service: service, dataCentre: dataCentre, retryLimits: retryLimits, tenants: defaultTenantSettings()}
+	return Config{node: node, service: service, dataCentre: dataCentre, retryLimits: retryLimits, tenants: defaultTenantSettings(), isNestedIn: func(string, string) bool { return false }}
 }
 
 // Observer receives the measurements of a router.
--- a/lib/hedge/hedge.go
+++ b/lib/hedge/hedge.go
@@ -11,17 +11,14 @@
 //
 // # Usage
 //
-//	c := hedge.New(0.02, 0.95)
+//	c := hedge.New(0.02, 0.95, isNestedIn)
 //	c.RecordLatency(now, route, latency)
 //	c.RecordSent(now, service)
 //	if delay, ok := c.Delay(now, route); ok { ... }
 //	if denial := c.Take(now, service, id, nested); denial == hedge.Granted { ... }
 package hedge
 
-import (
-	"strings"
-	"time"
-)
+import "time"
 
 const (
 	// kneeShare is the share of searches for a slot that may be short of one before the
@@ -56,11 +53,12 @@
 
 // Controller holds the latencies of the routes and the budgets of the services of a node.
 type Controller struct {
-	share    float64
-	quantile float64
-	routes   map[string]*sketch
-	services map[string]*service
-	running  map[string]time.Time // ids of hedges at the server on this host, until when
+	share      float64
+	quantile   float64
+	isNestedIn func(id, parent string) bool
+	routes     map[string]*sketch
+	services   map[string]*service
+	running    map[string]time.Time // ids of hedges at the server on this host, until when
 }
 
 // service holds the budget of a service and its recent searches for slots.
@@ -78,9 +76,10 @@
 
 // New returns a controller. share is the largest number of hedges for each request that
 // is sent to a service; a request is hedged after the given quantile of the latencies of
-// its route.
-func New(share, quantile float64) *Controller {
-	return &Controller{share: share, quantile: quantile, routes: map[string]*sketch{}, services: map[string]*service{}, running: map[string]time.Time{}}
+// its route. isNestedIn reports whether the id of a call says that the request with the id
+// parent makes it while it runs.
+func New(share, quantile float64, isNestedIn func(id, parent string) bool) *Controller {
+	return &Controller{share: share, quantile: quantile, isNestedIn: isNestedIn, routes: map[string]*sketch{}, services: map[string]*service{}, running: map[string]time.Time{}}
 }
 
 // RecordLatency records how long a server took for a request of a route, or, if a hedge
@@ -201,7 +200,7 @@
 			delete(c.running, hedge)
 			continue
 		}
-		if len(id) > len(hedge) && strings.HasPrefix(id, hedge) {
+		if c.isNestedIn(id, hedge) {
 			return true
 		}
 	}
--- a/lib/hedge/hedge_test.go
+++ b/lib/hedge/hedge_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,10 +20,12 @@
 
 var start = time.Unix(1_000_000, 0)
 
+func isNestedIn(id, parent string) bool { return strings.HasPrefix(id, parent+".") }
+
 // TestServersThatPause_DelayFollowsTheQuantile guards against a delay that stays at that
 // of earlier seconds, or that one slow response in a hundred moves.
 func TestServersThatPause_DelayFollowsTheQuantile(t *testing.T) {
-	c := hedge.New(share, quantile)
+	c := hedge.New(share, quantile, isNestedIn)
 	rng := rand.New(rand.NewPCG(1, 1))
 	_, ok := c.Delay(start, "read")
 	must.False(t, ok)
@@ -52,7 +55,7 @@
 // TestSteadyLoad_ShareIsKeptOverAnySecond guards against a burst of second sends after a
 // quiet time, and against a share that is not used.
 func TestSteadyLoad_ShareIsKeptOverAnySecond(t *testing.T) {
-	c := hedge.New(share, quantile)
+	c := hedge.New(share, quantile, isNestedIn)
 	rng := rand.New(rand.NewPCG(2, 2))
 	var sent, hedged []time.Time
 	now := start
@@ -85,7 +88,7 @@
 // TestServicePastItsKnee_GetsNoHedges guards against second sends that take the slots that
 // other requests look for.
 func TestServicePastItsKnee_GetsNoHedges(t *testing.T) {
-	c := hedge.New(share, quantile)
+	c := hedge.New(share, quantile, isNestedIn)
 	take := func(now time.Time) hedge.Denial {
 		for range 50 {
 			c.RecordSent("shop")
@@ -107,7 +110,7 @@
 
 // TestCallsOfAHedge_AreNotHedged guards against hedges that multiply along a chain.
 func TestCallsOfAHedge_AreNotHedged(t *testing.T) {
-	c := hedge.New(1, quantile)
+	c := hedge.New(1, quantile, isNestedIn)
 	c.RecordRunning(start, "parent", start.Add(time.Second))
 	take := func(now time.Time, id string, nested bool) hedge.Denial {
 		c.RecordSent("shop")
@@ -117,6 +120,7 @@
 	must.Eq(t, hedge.DeniedChain, take(start, "parent.1.2", true))
 	must.Eq(t, hedge.Granted, take(start, "other.1", true))
 	must.Eq(t, hedge.Granted, take(start, "parent", false))
+	must.Eq(t, hedge.Granted, take(start, "parent2.1", true), must.Sprint("a call of another request whose id begins alike"))
 	must.Eq(t, hedge.Granted, take(start.Add(time.Second), "parent.1", true))
 	for n := range 5000 {
 		c.RecordRunning(start, fmt.Sprint("id-", n), start.Add(time.Second))
@@ -126,7 +130,7 @@
 // TestHedgeWithoutASlot_IsRefunded guards against a share that is used up by hedges that
 // were never sent, and against one that grows beyond its limit.
 func TestHedgeWithoutASlot_IsRefunded(t *testing.T) {
-	c := hedge.New(share, quantile)
+	c := hedge.New(share, quantile, isNestedIn)
 	for range 60 {
 		c.RecordSent("shop")
 	}
@@ -140,7 +144,7 @@
 }
 
 func BenchmarkDelay(b *testing.B) {
-	c := hedge.New(share, quantile)
+	c := hedge.New(share, quantile, isNestedIn)
 	for n := range 1000 {
 		c.RecordLatency(start, "read", time.Duration(n)*time.Millisecond)
 	}
--- a/savorygap-node/internal/routing/routing.go
+++ b/savorygap-node/internal/routing/routing.go
@@ -36,7 +36,8 @@
 	}).WithSearched(p.Metrics().CountSearch).WithHedges(p.Metrics().CountHedge)
 	config := dispatch.NewConfig(t.Host(), t.Service(), t.DataCentre(), limits).
 		WithTenants(platform.HeaderNames().Tenant(), platform.AuthenticationScheme, func(id string) bool { return p.ServerProxy().RunsParent(id) }).
-		WithFarRoundTrip(t.FarRoundTrip()).WithHedging(t.HedgingShare(), t.HedgingQuantile())
+		WithFarRoundTrip(t.FarRoundTrip()).WithHedging(t.HedgingShare(), t.HedgingQuantile()).
+		WithNesting(platform.IsNestedIn)
 	if t.DownstreamAdmission() {
 		// The step servers sets the proxy before any request arrives.
 		config = config.WithDownstream(
