fix(hedge): services without requests are forgotten

Cause: the budget and the searches of each service that a configuration ever named stayed in memory. Change: when a service gets its first request, those without one for a minute are dropped.

--- a/lib/dispatch/hedgelimit.go
+++ b/lib/dispatch/hedgelimit.go
@@ -92,7 +92,7 @@
 	case m.refund != "":
 		r.hedging.Refund(m.refund)
 	case m.sent != "":
-		r.hedging.RecordSent(m.sent)
+		r.hedging.RecordSent(now, m.sent)
 	case m.search != nil:
 		r.hedging.RecordSearch(now, m.search.service, m.search.short)
 	case m.latency != nil:
--- a/lib/hedge/hedge.go
+++ b/lib/hedge/hedge.go
@@ -31,6 +31,9 @@
 	// maxTokens is the capacity of the budget of a service, in sends. One keeps the share
 	// over any interval, but for a single send.
 	maxTokens = 1
+	// serviceMemory is how long a service without requests is remembered. Its budget of at most
+	// one hedge, and its searches of the last second, are then of no use.
+	serviceMemory = time.Minute
 	// maxRunning bounds the hedges at the server on this host that are remembered. A
 	// server has far fewer slots.
 	maxRunning = 1024
@@ -65,6 +68,7 @@
 type service struct {
 	tokens   float64
 	searches [kneeSlots]searchCount
+	usedAt   time.Time
 }
 
 // searchCount counts searches in one slot of time.
@@ -122,9 +126,26 @@
 	return s
 }
 
+// forgetServices drops the services without recent requests, which may not exist any more.
+func (c *Controller) forgetServices(now time.Time) {
+	for name, s := range c.services {
+		if now.Sub(s.usedAt) > serviceMemory {
+			delete(c.services, name)
+		}
+	}
+}
+
+// RememberedServices returns how many services have their hedges counted.
+func (c *Controller) RememberedServices() int { return len(c.services) }
+
 // RecordSent records that a request is sent to a service, other than by a hedge.
-func (c *Controller) RecordSent(service string) {
+func (c *Controller) RecordSent(now time.Time, service string) {
 	s := c.service(service)
+	isFirst := s.usedAt.IsZero()
+	s.usedAt = now
+	if isFirst {
+		c.forgetServices(now)
+	}
 	s.tokens = min(s.tokens+c.share, maxTokens)
 }
 
--- a/lib/hedge/hedge_test.go
+++ b/lib/hedge/hedge_test.go
@@ -65,7 +65,7 @@
 			rate = 20 // a quiet time
 		}
 		now = now.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
-		c.RecordSent("shop")
+		c.RecordSent(now, "shop")
 		c.RecordSearch(now, "shop", false)
 		sent = append(sent, now)
 		// Every tenth request would be hedged.
@@ -91,7 +91,7 @@
 	c := hedge.New(share, quantile, isNestedIn)
 	take := func(now time.Time) hedge.Denial {
 		for range 50 {
-			c.RecordSent("shop")
+			c.RecordSent(start, "shop")
 		}
 		return c.Take(now, "shop", "id", false)
 	}
@@ -100,7 +100,7 @@
 	}
 	now := start.Add(time.Second)
 	must.Eq(t, hedge.DeniedKnee, take(now))
-	c.RecordSent("till")
+	c.RecordSent(start, "till")
 	must.Eq(t, hedge.DeniedShare, c.Take(now, "till", "id", false))
 	for n := range 100 {
 		c.RecordSearch(now.Add(time.Duration(n)*10*time.Millisecond), "shop", n == 50)
@@ -113,7 +113,7 @@
 	c := hedge.New(1, quantile, isNestedIn)
 	c.RecordRunning(start, "parent", start.Add(time.Second))
 	take := func(now time.Time, id string, nested bool) hedge.Denial {
-		c.RecordSent("shop")
+		c.RecordSent(start, "shop")
 		return c.Take(now, "shop", id, nested)
 	}
 	must.Eq(t, hedge.DeniedChain, take(start, "parent.1", true))
@@ -132,7 +132,7 @@
 func TestHedgeWithoutASlot_IsRefunded(t *testing.T) {
 	c := hedge.New(share, quantile, isNestedIn)
 	for range 60 {
-		c.RecordSent("shop")
+		c.RecordSent(start, "shop")
 	}
 	for range 10 {
 		must.Eq(t, hedge.Granted, c.Take(start, "shop", "id", false))
@@ -143,6 +143,24 @@
 	must.Eq(t, hedge.DeniedShare, c.Take(start, "shop", "id", false))
 }
 
+// TestServicesThatComeAndGo_AreForgotten guards against memory that grows with the services of
+// earlier configurations.
+func TestServicesThatComeAndGo_AreForgotten(t *testing.T) {
+	c := hedge.New(share, quantile, isNestedIn)
+	now := start
+	for n := range 1000 {
+		now = now.Add(10 * time.Second)
+		c.RecordSent(now, "shop")
+		c.RecordSearch(now, fmt.Sprint("service-", n), false)
+		c.RecordSent(now, fmt.Sprint("service-", n))
+	}
+	must.LessEq(t, 10, c.RememberedServices())
+	for range 60 {
+		c.RecordSent(now, "shop")
+	}
+	must.Eq(t, hedge.Granted, c.Take(now, "shop", "id", false))
+}
+
 func BenchmarkDelay(b *testing.B) {
 	c := hedge.New(share, quantile, isNestedIn)
 	for n := range 1000 {
