fix(downstream): pressure that is not renewed is gone after 2 s

Change: the pressure counts for 2 s after the last report. Measured: 2 s after 4 s of such reports the pressure was 1, now 0, and the allowance is 1 again 2.4 s later; the simulations of go test -race ./downstream pass.

--- a/lib/downstream/downstream.go
+++ b/lib/downstream/downstream.go
@@ -44,9 +44,10 @@
 	// maxElapsed bounds the time that one step accounts for.
 	maxElapsed = time.Second
 	// pressureHalfLife is the time in which reported pressure loses half its weight, and
-	// minWeight the weight below which the pressure counts as gone.
+	// pressureMemory the time after the last report in which the pressure counts as gone,
+	// however many reports there were before.
 	pressureHalfLife = 500 * time.Millisecond
-	minWeight        = 0.1
+	pressureMemory   = 2 * time.Second
 	// countHalfLife is the time in which counted runs and calls lose half their weight: a
 	// route with one request a second still has some ten to count.
 	countHalfLife = 10 * time.Second
@@ -164,7 +165,7 @@
 	runs := max(1, r.runs.value(now, countHalfLife))
 	for name, s := range r.services {
 		weight := s.weight.value(now, pressureHalfLife)
-		if weight < minWeight {
+		if weight == 0 || now.Sub(s.weight.at) >= pressureMemory {
 			continue
 		}
 		callsPerRun := s.calls.value(now, countHalfLife) / runs
--- a/lib/downstream/downstream_test.go
+++ b/lib/downstream/downstream_test.go
@@ -242,3 +242,22 @@
 	}
 	must.Greater(t, 0.9, c.Allowance(at(10_000), "page"))
 }
+
+// TestCalledServiceFallsSilent_PressureIsGoneAfterTwoSeconds guards against a busy route that is
+// reduced for long after the last reply of the called service, since many replies weigh more than
+// one.
+func TestCalledServiceFallsSilent_PressureIsGoneAfterTwoSeconds(t *testing.T) {
+	c := downstream.New()
+	c.RecordRun(at(0), "report")
+	for ms := 0; ms < 4000; ms += 5 {
+		c.RecordCall(at(ms), "report", "stock")
+		c.RecordPressure(at(ms), "report", "stock", 1)
+	}
+	must.Eq(t, 0.3, c.Allowance(at(4000), "report"))
+	for ms := 4000; ms < 8400; ms += 50 {
+		c.Allowance(at(ms), "report")
+	}
+	pressure, _ := c.Pressure(at(6000), "report")
+	must.Eq(t, 0, pressure)
+	must.Eq(t, 1, c.Allowance(at(8400), "report"))
+}
