fix(store): a status below 200 is no success

Cause: the client of savorygapd's store took every status below 300 for a success. net/http passes on 000 to 099 and 101, so a lease counted as renewed and an empty object as a value. Change: only 200 to 299 are successes.

--- a/lib/store/http.go
+++ b/lib/store/http.go
@@ -147,7 +147,7 @@
 	if err != nil {
 		return err
 	}
-	if response.StatusCode >= http.StatusMultipleChoices {
+	if response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusMultipleChoices {
 		version, _ := strconv.ParseUint(response.Header.Get("X-Version"), 10, 64)
 		return &statusError{code: response.StatusCode, version: version, text: string(bytes.TrimSpace(data))}
 	}
--- a/lib/store/store_test.go
+++ b/lib/store/store_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -190,3 +192,23 @@
 	_, err := store.NewHTTP(server.Client(), server.URL).Get(context.Background(), "k")
 	must.Error(t, err)
 }
+
+// statusTransport answers every call with a status and an empty object.
+type statusTransport int
+
+// RoundTrip implements http.RoundTripper.
+func (s statusTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: int(s), Header: http.Header{}, Body: io.NopCloser(strings.NewReader("{}")), Request: r}, nil
+}
+
+// TestStatusBelow200_IsNoSuccess guards against a lease that counts as renewed, and a key as read,
+// because of a status that is no final response: net/http passes on 000 to 099 and 101.
+func TestStatusBelow200_IsNoSuccess(t *testing.T) {
+	for _, status := range []int{0, 20, 99, 101, 199, 300, 600, 999} {
+		c := store.NewHTTP(&http.Client{Transport: statusTransport(status)}, "http://store")
+		must.Error(t, c.Renew(context.Background(), "lease"), must.Sprint(status))
+		_, err := c.Get(context.Background(), "k")
+		must.Error(t, err, must.Sprint(status))
+	}
+	must.NoError(t, store.NewHTTP(&http.Client{Transport: statusTransport(http.StatusOK)}, "http://store").Renew(context.Background(), "lease"))
+}
