fix(frontend): no false length in the response to HEAD

Cause: the response to a HEAD request stated the length of the body that the node had, which is 0 for each response of a server, whatever the length of its resource. Change: the field is left out unless the node itself made the response.

--- a/lib/frontend/frontend.go
+++ b/lib/frontend/frontend.go
@@ -140,7 +140,7 @@
 	if last {
 		b = appendField(b, "Connection", "close")
 	}
-	if response.Status() != http.StatusNoContent && response.Status() != http.StatusNotModified {
+	if statesLength(response, method) {
 		b = appendField(b, "Content-Length", strconv.Itoa(len(response.Body())))
 	}
 	b = append(b, "\r\n"...)
@@ -150,6 +150,15 @@
 	return net.Buffers{b, response.Body()}
 }
 
+// statesLength reports whether the length of the body is that of the resource. A response of a
+// server to a HEAD request has no body, and its length is not known.
+func statesLength(response *upstream.Response, method string) bool {
+	if response.Status() == http.StatusNoContent || response.Status() == http.StatusNotModified {
+		return false
+	}
+	return method != http.MethodHead || len(response.Body()) > 0
+}
+
 func appendField(b []byte, name, value string) []byte {
 	b = append(b, name...)
 	b = append(b, ": "...)
--- a/lib/frontend/frontend_test.go
+++ b/lib/frontend/frontend_test.go
@@ -320,3 +320,32 @@
 		must.StrNotContains(t, log.String(), `"event":"panic"`)
 	})
 }
+
+// TestHeadResponse_StatesNoLengthThatIsNotKnown guards against a Content-Length of 0 in the
+// response to a HEAD request: the server's response has no body, but its resource may have one,
+// which the caller would take to be empty.
+func TestHeadResponse_StatesNoLengthThatIsNotKnown(t *testing.T) {
+	s := newTestFrontend(t, "a", "b", "c")
+	conn := s.dial()
+	r := bufio.NewReader(conn)
+	for _, c := range []struct {
+		id       string
+		response *upstream.Response
+		length   string
+	}{
+		{"a", upstream.NewResponse(http.StatusOK, http.Header{}, nil), ""},
+		{"b", upstream.NewResponse(http.StatusNotFound, http.Header{}, []byte("no such thing")), "13"},
+	} {
+		send(t, conn, strings.Replace(getRequest(c.id, ""), "GET", "HEAD", 1))
+		<-s.calls
+		s.responses[c.id] <- c.response
+		response, err := http.ReadResponse(r, &http.Request{Method: http.MethodHead})
+		must.NoError(t, err)
+		must.Eq(t, c.length, response.Header.Get("Content-Length"))
+	}
+	send(t, conn, getRequest("c", ""))
+	s.responses["c"] <- okResponse("next")
+	status, body := readResponse(t, r)
+	must.Eq(t, http.StatusOK, status)
+	must.Eq(t, "next", body)
+}
