fix(quota): a tenant that is added again has no new bucket

Cause: the owner dropped the bucket of a tenant without a limit and took one that was added for a tenant that had sent nothing, with a full bucket. A tenant also counts as removed while it has no API key, as between two versions that replace its only one. Change: the bucket of a removed tenant is kept for the window of the bounds.

--- a/lib/quota/faults_test.go
+++ b/lib/quota/faults_test.go
@@ -170,3 +170,37 @@
 		}
 	}
 }
+
+// TestTenantRemovedAndAddedAgain_StaysWithinTheBound guards against an owner that takes the
+// tenant for one that has sent nothing, and begins with a full bucket.
+func TestTenantRemovedAndAddedAgain_StaysWithinTheBound(t *testing.T) {
+	s := flood(1, 15*time.Second)
+	for at := 3 * time.Second; at < 14*time.Second; at += time.Second {
+		s.run(at)
+		for _, n := range s.nodes {
+			n.configure(nil)
+		}
+		s.after(50*time.Millisecond, func() {
+			for _, n := range s.nodes {
+				n.configure(s.limits)
+			}
+		})
+	}
+	s.run(15 * time.Second)
+	mustStayWithinTheBound(t, s, large)
+}
+
+// TestRemovedTenant_OwnerForgetsItAfterAWindow guards against buckets that pile up with tenants
+// that come and go.
+func TestRemovedTenant_OwnerForgetsItAfterAWindow(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	o, v := quota.NewOwner(bounds), quota.NewView("self", nil, 1, false)
+	for _, tenant := range []string{"a", "b"} {
+		o.Configure(now, map[string]quota.Limit{tenant: quota.NewLimit(tenant, 1, 1)})
+		o.Answer(now, &v, quota.NewQuestion(1, tenant, 1, 1, false))
+	}
+	must.Eq(t, 2, o.RememberedTenants())
+	now = now.Add(bounds.Window())
+	o.Answer(now, &v, quota.NewQuestion(1, "b", 1, 1, false))
+	must.Eq(t, 1, o.RememberedTenants())
+}
--- a/lib/quota/owner.go
+++ b/lib/quota/owner.go
@@ -17,6 +17,7 @@
 	limits       map[string]Limit
 	buckets      map[string]*ownedBucket
 	configuredAt time.Time // the first configuration, or the first question if it came before
+	forgetAt     time.Time // when buckets of removed tenants are next forgotten, zero for never
 }
 
 // ownedBucket is the bucket of a tenant. started is the part of the start tokens that it
@@ -27,6 +28,8 @@
 	share   float64
 	started float64
 	isYoung bool
+	// removedAt is when the tenant was removed, zero while it has a limit.
+	removedAt time.Time
 }
 
 // NewOwner returns an owner without limits.
@@ -35,7 +38,8 @@
 }
 
 // Configure sets the limits of all tenants. A bucket keeps its tokens up to its new
-// capacity.
+// capacity. That of a removed tenant is kept for the window of the bounds: the tenant may be
+// added again, and what it has sent before still counts.
 func (o *Owner) Configure(now time.Time, limits map[string]Limit) {
 	if o.configuredAt.IsZero() && len(limits) > 0 {
 		o.configuredAt = now
@@ -44,12 +48,33 @@
 	for tenant, b := range o.buckets {
 		if l, ok := limits[tenant]; ok {
 			o.size(now, b, l, b.share)
-		} else {
+			b.removedAt = time.Time{}
+		} else if b.removedAt.IsZero() {
+			b.removedAt = now
+		}
+	}
+	o.forgetRemoved(now)
+}
+
+// forgetRemoved drops the buckets of tenants that were removed longer than the window ago.
+func (o *Owner) forgetRemoved(now time.Time) {
+	o.forgetAt = time.Time{}
+	for tenant, b := range o.buckets {
+		if b.removedAt.IsZero() {
+			continue
+		}
+		switch due := b.removedAt.Add(o.bounds.window); {
+		case !now.Before(due):
 			delete(o.buckets, tenant)
+		case o.forgetAt.IsZero() || due.Before(o.forgetAt):
+			o.forgetAt = due
 		}
 	}
 }
 
+// RememberedTenants returns how many tenants have a bucket.
+func (o *Owner) RememberedTenants() int { return len(o.buckets) }
+
 // size sets the rate and the capacity of a bucket for a share of the members.
 func (o *Owner) size(now time.Time, b *ownedBucket, l Limit, share float64) {
 	b.bucket.Reconfigure(now, share*l.rate, max(share*o.bounds.Capacity(l), 1))
@@ -86,6 +111,9 @@
 	if o.configuredAt.IsZero() {
 		o.configuredAt = now
 	}
+	if !o.forgetAt.IsZero() && !now.Before(o.forgetAt) {
+		o.forgetRemoved(now)
+	}
 	b, ok := o.buckets[q.tenant]
 	if !ok {
 		b = o.newBucket(now, v, l)
