--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -101,9 +101,12 @@
 	// if it is not known.
 	callerRoute    string
 	callerPriority int
-	hedgeTaken     bool
-	hedgeWon       bool
-	hedgeDenied    string
+	// hedgeTaken is whether a hedge was taken from the share and is not sent yet, and
+	// hedgeSent whether the second send is one.
+	hedgeTaken  bool
+	hedgeSent   bool
+	hedgeWon    bool
+	hedgeDenied string
 	// failedResponse is the error response of an earlier attempt, and
 	// uncertainReason the reason why the outcome of an earlier attempt is
 	// unknown. The call ends with them if no further slot is found.
@@ -180,14 +183,15 @@
 		if !ok {
 			return p.endWithoutSlot()
 		}
-		if p.isHeld() || !p.mayStillBeSent() {
-			offer.event.Endpoint().Withdraw(offer.event.Number())
-			return p.endWithoutSlot()
-		}
 		if response, ok := p.awaitCredit(ctx); !ok {
 			offer.event.Endpoint().Withdraw(offer.event.Number())
 			return response
 		}
+		// Checked last: a request may be held, and its key removed, while it waits.
+		if p.isHeld() || !p.mayStillBeSent() {
+			offer.event.Endpoint().Withdraw(offer.event.Number())
+			return p.endWithoutSlot()
+		}
 		p.fire(eventSend)
 		end := p.execute(ctx, offer)
 		response, again := p.handleAttemptEnd(ctx, end, reservations)
--- a/lib/dispatch/hedgelimit.go
+++ b/lib/dispatch/hedgelimit.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math"
+	"slices"
 	"time"
 
 	"savorygap.example/lib/hedge"
@@ -31,6 +33,14 @@
 	return c
 }
 
+// WithNesting returns the settings with a function that reports whether the id of a call says
+// that the request with the id parent makes it while it runs. Without it, calls that belong to
+// a hedge are not recognised.
+func (c Config) WithNesting(isNestedIn func(id, parent string) bool) Config {
+	c.isNestedIn = isNestedIn
+	return c
+}
+
 // WithHedges returns the observer with a function that is called for each hedge that is
 // sent, wins, or is denied for a reason, while hedges are limited.
 func (o Observer) WithHedges(hedged func(service, event, reason string)) Observer {
@@ -82,7 +92,7 @@
 	case m.refund != "":
 		r.hedging.Refund(m.refund)
 	case m.sent != "":
-		r.hedging.RecordSent(m.sent)
+		r.hedging.RecordSent(now, m.sent)
 	case m.search != nil:
 		r.hedging.RecordSearch(now, m.search.service, m.search.short)
 	case m.latency != nil:
@@ -97,7 +107,7 @@
 	if c.hedgingShare <= 0 {
 		return nil
 	}
-	return hedge.New(c.hedgingShare, c.hedgingQuantile)
+	return hedge.New(c.hedgingShare, c.hedgingQuantile, c.isNestedIn)
 }
 
 // limitHedges adds the delay of hedges to the plan of a call if they are limited.
@@ -141,6 +151,17 @@
 	return true
 }
 
+// hedgeCandidates returns those of the candidates that a second send may use. If hedges are
+// limited, it goes to no far data centre, even if there is no other server here, unless it
+// replaces the send to a silent node, for which no cost is too high.
+func (p *pendingCall) hedgeCandidates(candidates []candidate, maxCost float64) []candidate {
+	candidates = withoutOverflow(candidates)
+	if !p.plan.hedgesLimited || math.IsInf(maxCost, 1) {
+		return candidates
+	}
+	return slices.DeleteFunc(candidates, func(c candidate) bool { return c.distant })
+}
+
 // denyHedge records why a hedge is not sent.
 func (p *pendingCall) denyHedge(reason string) {
 	p.hedgeDenied = reason
@@ -159,7 +180,7 @@
 	}
 }
 
-// refundHedge returns a hedge that was taken, and reports whether one was.
+// refundHedge returns a hedge that was taken and not sent, and reports whether there was one.
 func (p *pendingCall) refundHedge() bool {
 	if !p.hedgeTaken {
 		return false
@@ -175,7 +196,8 @@
 	request := p.call.request.WithDeadline(p.deadline)
 	if p.plan.hedgesLimited {
 		request = request.AsHedge()
-		if p.hedgeTaken {
+		p.hedgeSent, p.hedgeTaken = p.hedgeTaken, false
+		if p.hedgeSent {
 			p.router.observer.hedged(p.plan.service, HedgeSent, "")
 		}
 	}
@@ -191,7 +213,7 @@
 	}
 	p.hedgeWon = true
 	p.sendHedging(hedgingMessage{latency: &latencyMessage{route: routeKey(p.plan.route), latency: p.router.clock.Since(started)}})
-	if p.hedgeTaken {
+	if p.hedgeSent {
 		p.router.observer.hedged(p.plan.service, HedgeWon, "")
 	}
 }
--- a/lib/hedge/hedge.go
+++ b/lib/hedge/hedge.go
@@ -11,17 +11,14 @@
 //
 // # Usage
 //
-//	c := hedge.New(0.02, 0.95)
+//	c := hedge.New(0.02, 0.95, isNestedIn)
 //	c.RecordLatency(now, route, latency)
 //	c.RecordSent(now, service)
 //	if delay, ok := c.Delay(now, route); ok { ... }
 //	if denial := c.Take(now, service, id, nested); denial == hedge.Granted { ... }
 package hedge
 
-import (
-	"strings"
-	"time"
-)
+import "time"
 
 const (
 	// kneeShare is the share of searches for a slot that may be short of one before the
@@ -34,6 +31,9 @@
 	// maxTokens is the capacity of the budget of a service, in sends. One keeps the share
 	// over any interval, but for a single send.
 	maxTokens = 1
+	// serviceMemory is how long a service without requests is remembered. Its budget of at most
+	// one hedge, and its searches of the last second, are then of no use.
+	serviceMemory = time.Minute
 	// maxRunning bounds the hedges at the server on this host that are remembered. A
 	// server has far fewer slots.
 	maxRunning = 1024
@@ -56,17 +56,19 @@
 
 // Controller holds the latencies of the routes and the budgets of the services of a node.
 type Controller struct {
-	share    float64
-	quantile float64
-	routes   map[string]*sketch
-	services map[string]*service
-	running  map[string]time.Time // ids of hedges at the server on this host, until when
+	share      float64
+	quantile   float64
+	isNestedIn func(id, parent string) bool
+	routes     map[string]*sketch
+	services   map[string]*service
+	running    map[string]time.Time // ids of hedges at the server on this host, until when
 }
 
 // service holds the budget of a service and its recent searches for slots.
 type service struct {
 	tokens   float64
 	searches [kneeSlots]searchCount
+	usedAt   time.Time
 }
 
 // searchCount counts searches in one slot of time.
@@ -78,9 +80,10 @@
 
 // New returns a controller. share is the largest number of hedges for each request that
 // is sent to a service; a request is hedged after the given quantile of the latencies of
-// its route.
-func New(share, quantile float64) *Controller {
-	return &Controller{share: share, quantile: quantile, routes: map[string]*sketch{}, services: map[string]*service{}, running: map[string]time.Time{}}
+// its route. isNestedIn reports whether the id of a call says that the request with the id
+// parent makes it while it runs.
+func New(share, quantile float64, isNestedIn func(id, parent string) bool) *Controller {
+	return &Controller{share: share, quantile: quantile, isNestedIn: isNestedIn, routes: map[string]*sketch{}, services: map[string]*service{}, running: map[string]time.Time{}}
 }
 
 // RecordLatency records how long a server took for a request of a route, or, if a hedge
@@ -123,9 +126,26 @@
 	return s
 }
 
+// forgetServices drops the services without recent requests, which may not exist any more.
+func (c *Controller) forgetServices(now time.Time) {
+	for name, s := range c.services {
+		if now.Sub(s.usedAt) > serviceMemory {
+			delete(c.services, name)
+		}
+	}
+}
+
+// RememberedServices returns how many services have their hedges counted.
+func (c *Controller) RememberedServices() int { return len(c.services) }
+
 // RecordSent records that a request is sent to a service, other than by a hedge.
-func (c *Controller) RecordSent(service string) {
+func (c *Controller) RecordSent(now time.Time, service string) {
 	s := c.service(service)
+	isFirst := s.usedAt.IsZero()
+	s.usedAt = now
+	if isFirst {
+		c.forgetServices(now)
+	}
 	s.tokens = min(s.tokens+c.share, maxTokens)
 }
 
@@ -201,7 +221,7 @@
 			delete(c.running, hedge)
 			continue
 		}
-		if len(id) > len(hedge) && strings.HasPrefix(id, hedge) {
+		if c.isNestedIn(id, hedge) {
 			return true
 		}
 	}
--- a/lib/quota/controller/controller.go
+++ b/lib/quota/controller/controller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -75,7 +76,8 @@
 	peers    map[string]func(quota.Question) bool
 	waiting  map[uint64]task.Reply[quota.Verdict]
 	refusals map[string]*refusals
-	timeout  <-chan time.Time
+	timer    clockwork.Timer // nil if no question is open
+	timerDue time.Time
 }
 
 // refusals are the refusals of a tenant that were not logged yet.
@@ -163,6 +165,7 @@
 // run serves messages until the context ends.
 func (c *Controller) run(ctx context.Context) {
 	defer c.inbox.Close()
+	defer c.stopTimer()
 	if m := c.membership.Load(); m != nil {
 		c.setMembership(c.clock.Now(), m)
 	}
@@ -184,26 +187,42 @@
 		}
 		c.log.WritePanic("quotas", e)
 	})
+	var timeout <-chan time.Time
+	if c.timer != nil {
+		timeout = c.timer.Chan()
+	}
 	select {
 	case <-ctx.Done():
 		return
 	case m = <-c.inbox.Messages():
 		c.handle(m)
-	case <-c.timeout:
-		c.timeout = nil
+	case <-timeout:
+		c.timer = nil
+		// If the process stood still, answers may have come in time and wait here.
+		for range c.inbox.Len() {
+			m = <-c.inbox.Messages()
+			c.handle(m)
+		}
 		c.node.Expire(c.clock.Now())
 	}
-	c.setTimeout()
+	c.setTimer()
 }
 
-// setTimeout waits for the next question that is not answered in time. A wait for an
-// earlier question, answered meanwhile, is not cut short: its end does nothing.
-func (c *Controller) setTimeout() {
-	if c.timeout != nil {
+// setTimer waits for the next question that is not answered in time. A wait for an earlier
+// question, answered meanwhile, is not cut short: its end does nothing.
+func (c *Controller) setTimer() {
+	due, ok := c.node.NextTimeout()
+	if !ok || c.timer != nil && !due.Before(c.timerDue) {
 		return
 	}
-	if due, ok := c.node.NextTimeout(); ok {
-		c.timeout = c.clock.After(due.Sub(c.clock.Now()))
+	c.stopTimer()
+	c.timer, c.timerDue = c.clock.NewTimer(due.Sub(c.clock.Now())), due
+}
+
+func (c *Controller) stopTimer() {
+	if c.timer != nil {
+		c.timer.Stop()
+		c.timer = nil
 	}
 }
 
@@ -213,6 +232,7 @@
 	case m.limits != nil:
 		accounts := c.node.Configure(now, m.limits.limits)
 		c.accounts.Store(&accounts)
+		maps.DeleteFunc(c.refusals, func(tenant string, _ *refusals) bool { return accounts[tenant] == nil })
 		m.limits.reply <- true
 	case m.membership != nil:
 		c.setMembership(now, m.membership)
--- a/lib/quota/controller/controller_test.go
+++ b/lib/quota/controller/controller_test.go
@@ -1,8 +1,10 @@
 package controller_test
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -226,3 +228,91 @@
 		claim.Release()
 	}
 }
+
+// TestOwnersThatDoNotAnswer_EachQuestionTimesOutByItself guards against a task that waits for
+// a late time-out of one question while an earlier one of another question is due.
+func TestOwnersThatDoNotAnswer_EachQuestionTimesOutByItself(t *testing.T) {
+	f := newFixture(t)
+	f.withPeer()
+	first, second := ownedBy("b"), ""
+	v := quota.NewView("a", []string{"b"}, 2, false)
+	for second = first + "t"; v.Owner(second) != "b"; second += "t" {
+		continue
+	}
+	f.Configure([]quota.Limit{quota.NewLimit(first, 0.01, 1), quota.NewLimit(second, 0.01, 1)})
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	advance := func(d time.Duration) {
+		must.NoError(t, f.clock.BlockUntilContext(ctx, 1))
+		f.clock.Advance(d)
+	}
+	begin := func(tenant string) controller.Claim {
+		c := f.Begin(tenant)
+		<-f.questions
+		f.Configure([]quota.Limit{quota.NewLimit(first, 0.01, 1), quota.NewLimit(second, 0.01, 1)}) // the task has handled the request
+		return c
+	}
+	silent := begin(first)
+	advance(40 * time.Millisecond)
+	advance(160 * time.Millisecond)
+	must.False(t, func() bool { v := wait(t, &silent); return v.Admitted() }())
+	// The next look at that question is 300 ms later, the last one at this question 200 ms.
+	late := begin(second)
+	advance(40 * time.Millisecond)
+	advance(160 * time.Millisecond)
+	must.False(t, func() bool { v := wait(t, &late); return v.Admitted() }())
+}
+
+// TestAnswerThatWaitsForTheTask_ComesBeforeTheTimeOut guards against 429 for requests whose
+// credits have arrived, because the task stood still until the time for the answer was over.
+func TestAnswerThatWaitsForTheTask_ComesBeforeTheTimeOut(t *testing.T) {
+	for range 20 {
+		f := newFixture(t)
+		f.withPeer()
+		f.Configure([]quota.Limit{quota.NewLimit(ownedBy("b"), 0.01, 1)})
+		claim := f.Begin(ownedBy("b"))
+		q := <-f.questions
+		blocked, release := make(chan bool), make(chan bool)
+		f.HandleQuestion(quota.NewQuestion(1, ownedBy("a"), 1, 1, false), func(quota.Answer) {
+			blocked <- true
+			<-release
+		})
+		<-blocked
+		f.clock.Advance(250 * time.Millisecond)
+		f.HandleAnswer(quota.NewAnswer(q.Number(), 1, 0, true))
+		release <- true
+		must.True(t, func() bool { v := wait(t, &claim); return v.Admitted() }())
+	}
+}
+
+// TestRemovedTenant_IsForgotten guards against refusals of a removed tenant that stay in memory,
+// and are logged as those of a later tenant of that name.
+func TestRemovedTenant_IsForgotten(t *testing.T) {
+	var text bytes.Buffer
+	clock := clockwork.NewFakeClock()
+	log := eventlog.New(&text, clock, "a")
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	c := controller.New(func(run func(context.Context)) {
+		go func() {
+			run(ctx)
+			close(ended)
+		}()
+	}, controller.NewConfig("a", bounds), clock, log, controller.NewObserver(func(quota.Source, int) {}, func(quota.Source) {}, func(int) {}))
+	c.SetMembership(controller.NewMembership(nil, 1, false))
+	limits := []quota.Limit{quota.NewLimit("band", 1, 1)}
+	for range 2 {
+		c.Configure(limits)
+		for range 10 {
+			claim := c.Begin("band")
+			_ = wait(t, &claim)
+		}
+		c.Configure(nil)
+	}
+	cancel()
+	<-ended
+	log.Run(ctx)
+	// Three requests are admitted at the start; the refusals after the first one wait for the
+	// next line.
+	must.Eq(t, 2, strings.Count(text.String(), `"refused":1`), must.Sprint(text.String()))
+}
--- a/lib/quota/faults_test.go
+++ b/lib/quota/faults_test.go
@@ -1,6 +1,7 @@
 package quota_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -94,3 +95,112 @@
 	_, ok = account.Take(now)
 	must.False(t, ok)
 }
+
+// askingNode returns a node that is linked to one other, and the questions that it sends.
+func askingNode(now time.Time, settle func(id uint64, v quota.Verdict)) (*quota.Node, *[]quota.Question) {
+	asked := &[]quota.Question{}
+	n := quota.NewNode(now, "self", bounds, func(_ string, q quota.Question) bool {
+		*asked = append(*asked, q)
+		return true
+	}, settle, quota.NewObserver(func(quota.Source, int) {}, func(string, quota.Verdict) {}, func(int) {}))
+	n.SetView(now, quota.NewView("self", []string{"other"}, 2, false))
+	return n, asked
+}
+
+// ownedByOther returns tenants that the other node of askingNode owns.
+func ownedByOther(count int) []string {
+	v := quota.NewView("self", []string{"other"}, 2, false)
+	var tenants []string
+	for name := "a"; len(tenants) < count; name += "a" {
+		if v.Owner(name) == "other" {
+			tenants = append(tenants, name)
+		}
+	}
+	return tenants
+}
+
+// TestQuestionWithoutAnswer_DoesNotDelayTheFallbackOfOthers guards against requests that wait
+// for a silent owner longer than its answer may take, since an earlier question without an
+// answer is looked at later.
+func TestQuestionWithoutAnswer_DoesNotDelayTheFallbackOfOthers(t *testing.T) {
+	start := time.Unix(1e9, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	n, _ := askingNode(start, func(uint64, quota.Verdict) {})
+	tenants := ownedByOther(2)
+	n.Configure(start, []quota.Limit{quota.NewLimit(tenants[0], 100, 100), quota.NewLimit(tenants[1], 100, 100)})
+	n.Request(start, tenants[0], 1)
+	n.Expire(at(40)) // the next look is due at 200 ms
+	n.Request(at(50), tenants[1], 2)
+	due, ok := n.NextTimeout()
+	must.True(t, ok)
+	must.Eq(t, at(90), due)
+}
+
+// TestAnswerAfterAPause_IsNoRefusal guards against 429 for requests whose credits were granted
+// in time, and lapsed because this process stood still: the answer and the time-out are then
+// both due, in either order.
+func TestAnswerAfterAPause_IsNoRefusal(t *testing.T) {
+	start := time.Unix(1e9, 0)
+	var verdicts []quota.Verdict
+	n, asked := askingNode(start, func(_ uint64, v quota.Verdict) { verdicts = append(verdicts, v) })
+	tenant := ownedByOther(1)[0]
+	n.Configure(start, []quota.Limit{quota.NewLimit(tenant, 100, 100)})
+	n.Request(start, tenant, 1)
+	now := start.Add(700 * time.Millisecond)
+	n.HandleAnswer(now, quota.NewAnswer((*asked)[0].Number(), 1, 0, true))
+	must.Eq(t, 0, len(verdicts))
+	must.Eq(t, 2, len(*asked))
+	n.HandleAnswer(now, quota.NewAnswer((*asked)[1].Number(), 1, 0, true))
+	must.Eq(t, 1, len(verdicts))
+	must.True(t, verdicts[0].Admitted())
+}
+
+// TestHugeLimit_RefusesNothing guards against numbers of tokens that no integer holds: a
+// rate of that size stands for no limit.
+func TestHugeLimit_RefusesNothing(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	for _, rate := range []float64{1e9, 1e19, math.MaxFloat64} {
+		for _, burst := range []float64{0, 1e19, math.MaxFloat64} {
+			o := quota.NewOwner(bounds)
+			l := quota.NewLimit("a", rate, burst)
+			o.Configure(now, map[string]quota.Limit{"a": l})
+			v := quota.NewView("self", nil, 1, false)
+			a := o.Answer(now.Add(time.Second), &v, quota.NewQuestion(1, "a", 1, 100, false))
+			must.Positive(t, a.Granted(), must.Sprint(rate, burst))
+		}
+	}
+}
+
+// TestTenantRemovedAndAddedAgain_StaysWithinTheBound guards against an owner that takes the
+// tenant for one that has sent nothing, and begins with a full bucket.
+func TestTenantRemovedAndAddedAgain_StaysWithinTheBound(t *testing.T) {
+	s := flood(1, 15*time.Second)
+	for at := 3 * time.Second; at < 14*time.Second; at += time.Second {
+		s.run(at)
+		for _, n := range s.nodes {
+			n.configure(nil)
+		}
+		s.after(50*time.Millisecond, func() {
+			for _, n := range s.nodes {
+				n.configure(s.limits)
+			}
+		})
+	}
+	s.run(15 * time.Second)
+	mustStayWithinTheBound(t, s, large)
+}
+
+// TestRemovedTenant_OwnerForgetsItAfterAWindow guards against buckets that pile up with tenants
+// that come and go.
+func TestRemovedTenant_OwnerForgetsItAfterAWindow(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	o, v := quota.NewOwner(bounds), quota.NewView("self", nil, 1, false)
+	for _, tenant := range []string{"a", "b"} {
+		o.Configure(now, map[string]quota.Limit{tenant: quota.NewLimit(tenant, 1, 1)})
+		o.Answer(now, &v, quota.NewQuestion(1, tenant, 1, 1, false))
+	}
+	must.Eq(t, 2, o.RememberedTenants())
+	now = now.Add(bounds.Window())
+	o.Answer(now, &v, quota.NewQuestion(1, "b", 1, 1, false))
+	must.Eq(t, 1, o.RememberedTenants())
+}
