rollout: the first write expects no record that the store has lost

The store lost the record of an earlier order before the first record of the present one was written. LoseRecord ignored it, since it is not of the present order, so that each first write expected the lost version and conflicted for ever: the rollout never began.

The version that the next write expects now falls to 0 for any lost record; only that of the present order is written again.

TestRecord_OfEarlierOrderThatIsLost fails without the change (the write expects version 4) and passes with it.

--- a/lib/rollout/rollout.go
+++ b/lib/rollout/rollout.go
@@ -110,13 +110,17 @@
 // Step returns the index of the present step.
 func (r *Rollout) Step() int { return r.step() }
 
-// LoseRecord records that the store had no record at a version. The known one is then
-// written again. It reports whether that is news.
+// LoseRecord records that the store had no record at a version, which the next write then
+// expects. That of the order is written again. It reports whether one of the order was lost.
 func (r *Rollout) LoseRecord(version uint64) bool {
-	if r.record.order != r.order.version || r.record.version == 0 || version < r.record.version {
+	if r.record.version == 0 || version < r.record.version {
 		return false
 	}
-	r.record.version, r.lostAt, r.stale = 0, version, true
+	r.record.version, r.lostAt = 0, version
+	if r.record.order != r.order.version {
+		return false
+	}
+	r.stale = true
 	return true
 }
 
--- a/lib/rollout/rollout_test.go
+++ b/lib/rollout/rollout_test.go
@@ -297,3 +297,12 @@
 	must.Eq(t, 10, next.Order())
 	must.Eq(t, 4, next.Version())
 }
+
+// TestRecord_OfEarlierOrderThatIsLost guards against a first write that expects a record
+// which the store has lost, and that conflicts for ever.
+func TestRecord_OfEarlierOrderThatIsLost(t *testing.T) {
+	w := newWorld(t, 1)
+	w.rollout.MergeRecord(w.now, rollout.NewRecord(3, "v0", "", rollout.Complete, 5, 0).WithVersion(4))
+	must.False(t, w.rollout.LoseRecord(1020))
+	must.Eq(t, 0, w.rollout.Next(w.now, w.servers()).Record().Version())
+}
