rollout: the record of another order takes no progress back

Two faults of MergeRecord. A store that is restored to a copy from before the first step has the record of an earlier order, at a higher version: it replaced the known record, and the rollout began again at its first step. A node that got the record of a later order before that order took its version for the one to expect, and wrote the record of the old order over it.

The record of an earlier order now leaves the known one in force, which is written again.

TestRecord_OfAnotherOrderTakesNothingBack fails without either half of the change and passes with it.

--- a/lib/rollout/rollout.go
+++ b/lib/rollout/rollout.go
@@ -138,13 +138,14 @@
 
 // MergeRecord adopts a record that is newer than the known one. It reports whether it was.
 // A newer one with less progress is that of a store that was restored to an older state:
-// what was acknowledged stays, and is written again.
+// what was acknowledged stays, and is written again. One of a later order waits until that
+// order is known.
 func (r *Rollout) MergeRecord(now time.Time, record Record) bool {
-	if record.version <= r.record.version || record.version <= r.lostAt {
+	if record.version <= r.record.version || record.version <= r.lostAt || record.order > r.order.version {
 		return false
 	}
-	if record.order == r.record.order && record.progress() < r.record.progress() {
-		r.record.version, r.stale = record.version, true
+	if record.order < r.record.order || record.order == r.record.order && record.progress() < r.record.progress() {
+		r.record.version, r.stale = record.version, r.record.order == r.order.version
 		return true
 	}
 	before := r.step()
--- a/lib/rollout/rollout_test.go
+++ b/lib/rollout/rollout_test.go
@@ -298,6 +298,23 @@
 	must.Eq(t, 4, next.Version())
 }
 
+// TestRecord_OfAnotherOrderTakesNothingBack guards against a running rollout that loses its
+// progress to the record of an earlier order, which the copy of a restored store has, and
+// against the record of a later order that is not known yet, over which this one would
+// write.
+func TestRecord_OfAnotherOrderTakesNothingBack(t *testing.T) {
+	w := newWorld(t, 1)
+	w.rollout.MergeRecord(w.now, rollout.NewRecord(10, newVersion, oldVersion, rollout.Running, 3, 0).WithVersion(11))
+	must.True(t, w.rollout.MergeRecord(w.now, rollout.NewRecord(3, "v0", "", rollout.Complete, 5, 0).WithVersion(1004)))
+	must.Eq(t, 3, w.rollout.Step())
+	next := w.rollout.Next(w.now, w.servers()).Record()
+	must.Eq(t, 10, next.Order())
+	must.Eq(t, 3, next.Step())
+	must.Eq(t, 1004, next.Version())
+	must.False(t, w.rollout.MergeRecord(w.now, rollout.NewRecord(1010, "v3", oldVersion, rollout.Running, 0, 0).WithVersion(1020)))
+	must.Eq(t, 1004, w.rollout.Next(w.now, w.servers()).Record().Version())
+}
+
 // TestRecord_OfEarlierOrderThatIsLost guards against a first write that expects a record
 // which the store has lost, and that conflicts for ever.
 func TestRecord_OfEarlierOrderThatIsLost(t *testing.T) {
