rollout: a rollout goes on when the store is restored to an older state

Versions of the store rise with its era, so that the order had another version after a restore, whether the copy listed it or the operators wrote it again. A running rollout was withdrawn when the copy lacked its order and started over at its first step otherwise; one that was complete started over when the copy lacked both order and record.

An order of a later era with the same service, target and duration is now the same order: the rollout takes its version (Rollout.Continue) and keeps step, elapsed time, counts and verdict, and its record is written again. While the store lacks the order the rollout is held for up to 15 s without a step. Operators may write the order over that of the copy; removing it first makes it a new one, as does the removal before the restore. Peers that have not read the restored store tell the era from the version of the order (control.Hooks.WithEras), and their counts and rollbacks under the earlier version count.

Unit tests: TestContinue_KeepsWhatIsKnown and TestRestoredStore_* of lib/rollout/control; of these OrderWrittenAgain.., CopyWithAnOlderRecord.., PeersContinue.. and CompleteRollout.. fail without the change, and OrderWrittenAgain.. also when an order that the copy lacks is withdrawn at once. TestRestoredStore_RollbackIsKept and ..OtherOrderStartsAnew hold before and after.

--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -142,6 +142,9 @@
 	return s
 }
 
+// EraStart returns the lowest version of the era to which a version belongs.
+func (s *Store) EraStart(version uint64) uint64 { return s.eraStart(version) }
+
 // Read returns all records and the version of the store at the read.
 func (s *Store) Read(ctx context.Context) ([]Record, uint64, error) { return s.read(ctx) }
 
--- a/lib/rollout/control/act.go
+++ b/lib/rollout/control/act.go
@@ -13,6 +13,9 @@
 // tick decides about each rollout that is not settled.
 func (c *Controller) tick(ctx context.Context) {
 	for service, e := range c.rollouts {
+		if e.isHeld() && !c.clock.Now().Before(e.heldUntil) {
+			c.withdraw(e)
+		}
 		if e.rollout.IsSettled() {
 			continue
 		}
@@ -74,11 +77,12 @@
 	c.send(e, false)
 }
 
-// act writes the record that is due once it is the turn of this node.
+// act writes the record that is due once it is the turn of this node. Nothing is written
+// while the store lacks the order.
 func (c *Controller) act(ctx context.Context, service string, e *entry) {
 	now := c.clock.Now()
 	action := e.rollout.Next(now, c.servers[service])
-	if action.Kind() == rollout.None {
+	if action.Kind() == rollout.None || e.isHeld() {
 		e.due = rollout.Record{}
 		return
 	}
--- a/lib/rollout/control/control.go
+++ b/lib/rollout/control/control.go
@@ -45,6 +45,9 @@
 	watchDelay = 400 * time.Millisecond
 	// writeTimeout bounds one write. Another node takes its turn meanwhile.
 	writeTimeout = time.Second
+	// restoreHold is how long after a restore of the store operators may take to write
+	// again what it lacks.
+	restoreHold = 15 * time.Second
 	// Times after a failed write until this node writes again. After a conflict the record
 	// that caused it arrives over a link or with the next watch.
 	conflictDelay = 400 * time.Millisecond
@@ -73,6 +76,7 @@
 	policies     func(map[string]rollout.Policy)
 	admission    func(rollout.Admission)
 	running      func() int
+	eraStart     func(version uint64) uint64
 }
 
 // NewHooks returns hooks: decodeOrder and decodeRecord decode records of the store, write
@@ -83,7 +87,15 @@
 func NewHooks(decodeOrder func(registry.Record) (rollout.Order, error), decodeRecord func(registry.Record) (rollout.Record, error),
 	write func(context.Context, string, rollout.Record) (uint64, error), send func(rollout.Message),
 	policies func(map[string]rollout.Policy), admission func(rollout.Admission), running func() int) Hooks {
-	return Hooks{decodeOrder: decodeOrder, decodeRecord: decodeRecord, write: write, send: send, policies: policies, admission: admission, running: running}
+	return Hooks{decodeOrder: decodeOrder, decodeRecord: decodeRecord, write: write, send: send, policies: policies, admission: admission, running: running,
+		eraStart: func(uint64) uint64 { return 0 }}
+}
+
+// WithEras returns the hooks with a function that returns the lowest version of the era of
+// the store to which a version belongs. Without it the store has one era.
+func (h Hooks) WithEras(eraStart func(version uint64) uint64) Hooks {
+	h.eraStart = eraStart
+	return h
 }
 
 // Peer is a server as this node or a peer states it.
@@ -144,7 +156,6 @@
 	// listedMembers is the number of other nodes that the last full read listed.
 	listedMembers int
 	readVersion   uint64 // of the last full read of the store, 0 for none
-	eraStart      uint64 // lowest version of the store's era, 0 if it was never restored
 	local         Peer
 	established   string // the version of the local service, as long as no order names one
 	peers         []Peer
@@ -172,8 +183,19 @@
 	due      rollout.Record // the record that is due
 	dueSince time.Time
 	retryAt  time.Time
+	// heldUntil is when the rollout ends if operators have not written its order again,
+	// which the store has lost, and heldEra the era in which it was missing. Zero if the
+	// order is in the store.
+	heldUntil time.Time
+	heldEra   uint64
+	// carriedUntil is until when an equal order counts as the same one, since the present
+	// one may come from the copy to which the store was restored.
+	carriedUntil time.Time
 }
 
+// isHeld reports whether the store has lost the order.
+func (e *entry) isHeld() bool { return !e.heldUntil.IsZero() }
+
 // New returns a controller.
 func New(config Config, charts *chart.Set, clock clockwork.Clock, log *eventlog.Log, hooks Hooks) *Controller {
 	c := &Controller{
@@ -269,7 +291,7 @@
 
 func (c *Controller) hasUnsettled() bool {
 	for _, e := range c.rollouts {
-		if !e.rollout.IsSettled() {
+		if !e.rollout.IsSettled() || e.isHeld() {
 			return true
 		}
 	}
--- a/lib/rollout/control/control_test.go
+++ b/lib/rollout/control/control_test.go
@@ -30,9 +30,17 @@
 	results    chan error
 }
 
+// eraSize is the number of versions of an era of the store in these tests.
+const eraSize = 1000
+
 // newNode returns a node beside a server of the service shop. Orders hold the target
 // version; records are not decoded.
 func newNode(t *testing.T, name string) *node {
+	t.Helper()
+	return newNodeWithClock(t, name, clockwork.NewRealClock())
+}
+
+func newNodeWithClock(t *testing.T, name string, clock clockwork.Clock) *node {
 	t.Helper()
 	charts, err := chart.Embedded()
 	must.NoError(t, err)
@@ -63,8 +71,7 @@
 		func(p map[string]rollout.Policy) { n.policies <- p },
 		func(a rollout.Admission) { n.admissions <- a },
 		func() int { return 0 },
-	)
-	clock := clockwork.NewRealClock()
+	).WithEras(func(version uint64) uint64 { return version / eraSize * eraSize })
 	n.controller = control.New(control.NewConfig(name, "shop", rollout.NewBounds(0.1, 50, 5*time.Second)), charts, clock, eventlog.New(io.Discard, clock, name), hooks)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -231,7 +238,7 @@
 	n.awaitShare(t, 0.04)
 	n.controller.Receive(rollout.NewMessage(rollout.NewOrder("shop", "v2", 5*time.Second, 20), rollout.Record{}, 0, false, true))
 	n.awaitShare(t, 0)
-	const eraStart = 1000
+	const eraStart = eraSize
 	n.controller.ApplyUpdate(registry.NewUpdate(nil, eraStart+10, true).WithEraStart(eraStart))
 	n.controller.ApplyUpdate(registry.NewUpdate([]registry.Record{order(eraStart + 20)}, eraStart+20, false).WithEraStart(eraStart))
 	for {
@@ -252,3 +259,176 @@
 		return
 	}
 }
+
+// startRollout has a node follow an order of version 20, whose record at version 101 has
+// step 1, a share of 8%.
+func startRollout(t *testing.T, n *node) {
+	t.Helper()
+	n.controller.SetLocalServer(control.NewPeer("self", "shop", "i-self", "v1", true))
+	n.controller.SetPeers(peers("v1", "v2"))
+	n.controller.ApplyUpdate(registry.NewUpdate([]registry.Record{order(20)}, 20, true))
+	<-n.writes
+	n.results <- nil
+	n.awaitShare(t, 0.04)
+	must.Eq(t, 1, (<-n.writes).Step())
+	n.results <- nil
+	n.awaitShare(t, 0.08)
+}
+
+// mustKeepShare checks that the share does not change for a while, and returns the elapsed
+// time that the node has sent last.
+func (n *node) mustKeepShare(t *testing.T, want float64, lasting time.Duration) (elapsed time.Duration) {
+	t.Helper()
+	for end := time.After(lasting); ; {
+		select {
+		case p := <-n.policies:
+			must.Eq(t, want, p["shop"].Share())
+		case m := <-n.sent:
+			elapsed = m.Elapsed()
+		case <-end:
+			return elapsed
+		}
+	}
+}
+
+// TestRestoredStore_OrderWrittenAgainContinuesTheRollout has the store return from a copy
+// without the order and its record, and the operators write the order again. It guards
+// against a rollout that ends or starts over: the share, the step and the elapsed time stay.
+func TestRestoredStore_OrderWrittenAgainContinuesTheRollout(t *testing.T) {
+	n := newNode(t, "self")
+	startRollout(t, n)
+	started := time.Now()
+	n.controller.ApplyUpdate(registry.NewUpdate(nil, eraSize+10, true).WithEraStart(eraSize))
+	n.mustKeepShare(t, 0.08, 500*time.Millisecond)
+	must.Eq(t, 0, len(n.writes), must.Sprint("the store lacks the order"))
+	n.controller.ApplyUpdate(registry.NewUpdate([]registry.Record{order(eraSize + 20)}, eraSize+20, false).WithEraStart(eraSize))
+	next := <-n.writes
+	must.Eq(t, eraSize+20, next.Order())
+	must.Eq(t, 1, next.Step())
+	must.Eq(t, 0, next.Version(), must.Sprint("the store has no record"))
+	must.Eq(t, "v1", next.Previous())
+	n.results <- nil
+	elapsed := n.mustKeepShare(t, 0.08, 300*time.Millisecond)
+	must.GreaterEq(t, time.Since(started), elapsed, must.Sprint("time since the order"))
+}
+
+// TestRestoredStore_CopyWithAnOlderRecordGetsTheKnownOne has the copy list the order and a
+// record of its first step. It guards against a rollout that returns to that step, and
+// against a record that keeps the version which the order had before: a node that starts
+// later would take it for that of another order.
+func TestRestoredStore_CopyWithAnOlderRecordGetsTheKnownOne(t *testing.T) {
+	n := newNode(t, "self")
+	startRollout(t, n)
+	record := registry.NewRecord(registry.KindRollout, "shop", []byte("20")).WithVersion(eraSize + 8)
+	n.controller.ApplyUpdate(registry.NewUpdate([]registry.Record{order(eraSize + 7), record}, eraSize+10, true).WithEraStart(eraSize))
+	next := <-n.writes
+	must.Eq(t, eraSize+7, next.Order())
+	must.Eq(t, 1, next.Step())
+	must.Eq(t, eraSize+8, next.Version())
+	n.results <- registry.NewUnavailableError("txn", errors.New("no reply"))
+	// The operators write it again over that of the copy.
+	n.controller.ApplyUpdate(registry.NewUpdate([]registry.Record{order(eraSize + 20)}, eraSize+20, false).WithEraStart(eraSize))
+	next = <-n.writes
+	must.Eq(t, eraSize+20, next.Order())
+	must.Eq(t, 1, next.Step())
+	must.Eq(t, eraSize+8, next.Version())
+	n.results <- nil
+	n.mustKeepShare(t, 0.08, 300*time.Millisecond)
+}
+
+// TestRestoredStore_PeersContinueTheRollout guards against a node that has not read the
+// restored store yet and takes the order of a peer for a new one, and against one that has
+// and ignores the rollback of a peer that has not.
+func TestRestoredStore_PeersContinueTheRollout(t *testing.T) {
+	n := newNode(t, "self")
+	startRollout(t, n)
+	before, after := rollout.NewOrder("shop", "v2", 5*time.Second, 20), rollout.NewOrder("shop", "v2", 5*time.Second, eraSize+20)
+	n.controller.Receive(rollout.NewMessage(after, rollout.NewRecord(eraSize+20, "v2", "v1", rollout.Running, 0, 0).WithVersion(eraSize+21), 0, false, false))
+	next := <-n.writes
+	must.Eq(t, eraSize+20, next.Order())
+	must.Eq(t, 1, next.Step())
+	must.Eq(t, eraSize+21, next.Version())
+	n.results <- registry.NewUnavailableError("txn", errors.New("no reply"))
+	n.controller.Receive(rollout.NewMessage(before, rollout.Record{}, 0, true, false))
+	n.mustKeepShare(t, 0.08, 300*time.Millisecond)
+	n.controller.Receive(rollout.NewMessage(before, rollout.Record{}, 0, false, true))
+	n.awaitShare(t, 0)
+}
+
+// TestRestoredStore_OtherOrderStartsAnew guards against a new order that inherits the
+// progress of the one before: of another target, or one that was written after the
+// operators had removed the old one, before the restore or after it.
+func TestRestoredStore_OtherOrderStartsAnew(t *testing.T) {
+	other := registry.NewRecord(registry.KindRolloutOrder, "shop", []byte("v3")).WithVersion(eraSize + 20)
+	for name, updates := range map[string][]registry.Update{
+		"other target": {registry.NewUpdate(nil, eraSize+10, true).WithEraStart(eraSize), registry.NewUpdate([]registry.Record{other}, eraSize+20, false).WithEraStart(eraSize)},
+		"removed before": {registry.NewUpdate([]registry.Record{order(150).AsRemoved()}, 150, false),
+			registry.NewUpdate([]registry.Record{order(eraSize + 20)}, eraSize+20, true).WithEraStart(eraSize)},
+		"removed after": {registry.NewUpdate([]registry.Record{order(eraSize + 7)}, eraSize+10, true).WithEraStart(eraSize),
+			registry.NewUpdate([]registry.Record{order(eraSize + 12).AsRemoved(), order(eraSize + 20)}, eraSize+20, false).WithEraStart(eraSize)},
+		"no restore": {registry.NewUpdate([]registry.Record{order(150)}, 150, false)},
+	} {
+		n := newNode(t, "self")
+		startRollout(t, n)
+		for _, u := range updates {
+			n.controller.ApplyUpdate(u)
+		}
+		for {
+			next := <-n.writes
+			n.results <- errors.New("not written")
+			if next.Order() == eraSize+20 || next.Order() == 150 {
+				must.Eq(t, 0, next.Step(), must.Sprint(name))
+				break
+			}
+		}
+	}
+}
+
+// TestRestoredStore_CompleteRolloutStaysComplete has the copy lack both the order and the
+// record of a complete rollout. It guards against an order that is written again and takes
+// the service back to the old version, whose servers have stopped.
+func TestRestoredStore_CompleteRolloutStaysComplete(t *testing.T) {
+	n := newNode(t, "self")
+	startRollout(t, n)
+	n.controller.Receive(rollout.NewMessage(rollout.NewOrder("shop", "v2", 5*time.Second, 20), rollout.NewRecord(20, "v2", "v1", rollout.Complete, 5, 4*time.Second).WithVersion(200), 4*time.Second, false, false))
+	n.awaitAdmission(t, "v1", false)
+	n.controller.ApplyUpdate(registry.NewUpdate(nil, eraSize+10, true).WithEraStart(eraSize))
+	n.controller.ApplyUpdate(registry.NewUpdate([]registry.Record{order(eraSize + 20)}, eraSize+20, false).WithEraStart(eraSize))
+	for {
+		next := <-n.writes
+		n.results <- nil
+		if next.Order() == eraSize+20 {
+			must.Eq(t, rollout.Complete, next.Phase())
+			break
+		}
+	}
+	for len(n.admissions) > 0 {
+		must.False(t, (<-n.admissions).AdmitsServer("v1"))
+	}
+}
+
+// TestRestoredStore_OrderThatIsNotWrittenAgainEnds guards against a rollout that goes on for
+// ever because the operators had removed its order before the store lost that.
+func TestRestoredStore_OrderThatIsNotWrittenAgainEnds(t *testing.T) {
+	clock := clockwork.NewFakeClock()
+	n := newNodeWithClock(t, "self", clock)
+	n.controller.SetLocalServer(control.NewPeer("self", "shop", "i-self", "v1", true))
+	n.controller.SetPeers(peers("v1", "v2"))
+	n.controller.Receive(rollout.NewMessage(rollout.NewOrder("shop", "v2", 5*time.Second, 20), rollout.NewRecord(20, "v2", "v1", rollout.Running, 1, 0).WithVersion(25), 0, false, false))
+	n.awaitShare(t, 0.08)
+	n.controller.ApplyUpdate(registry.NewUpdate(nil, eraSize+10, true).WithEraStart(eraSize))
+	startedAt := clock.Now()
+	for {
+		select {
+		case p := <-n.policies:
+			if p["shop"].Share() == 0 {
+				must.Between(t, 14*time.Second, clock.Since(startedAt), 16*time.Second)
+				must.Eq(t, 0, len(n.writes))
+				return
+			}
+		case <-time.After(5 * time.Millisecond):
+			must.Less(t, time.Minute, clock.Since(startedAt))
+			clock.Advance(100 * time.Millisecond)
+		}
+	}
+}
--- a/lib/rollout/control/learn.go
+++ b/lib/rollout/control/learn.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"savorygap.example/lib/registry"
 	"savorygap.example/lib/rollout"
@@ -12,7 +13,6 @@
 // a watch: the next watch of a peer may be much later.
 func (c *Controller) applyUpdate(u registry.Update) {
 	listed, recorded, members := map[string]bool{}, map[string]bool{}, 0
-	c.eraStart = max(c.eraStart, u.EraStart())
 	for _, r := range u.Records() {
 		switch {
 		case r.Kind() == registry.KindRollout && !r.Removed():
@@ -34,7 +34,11 @@
 		return
 	}
 	for service, e := range c.rollouts {
-		if !listed[service] && e.rollout.Order().Version() <= u.Version() {
+		switch order := e.rollout.Order(); {
+		case listed[service] || order.Version() > u.Version():
+		case order.Version() < u.EraStart():
+			c.hold(e, u.EraStart())
+		default:
 			c.withdraw(e)
 		}
 	}
@@ -76,8 +80,7 @@
 		return false
 	}
 	c.records[service] = record
-	if e, ok := c.rollouts[service]; ok {
-		e.rollout.MergeRecord(c.clock.Now(), record)
+	if e, ok := c.rollouts[service]; ok && e.rollout.MergeRecord(c.clock.Now(), record) {
 		e.due = rollout.Record{}
 		c.logStep(service, e, source)
 	}
@@ -111,12 +114,16 @@
 	}
 }
 
-// adopt begins to follow an order that is newer than the known one. It reports whether it
-// was.
+// adopt begins to follow an order that is newer than the known one, or goes on with the
+// rollout of that one if the order is the same. It reports whether it was newer.
 func (c *Controller) adopt(order rollout.Order, source string) bool {
-	if e, ok := c.rollouts[order.Service()]; ok && e.rollout.Order().Version() >= order.Version() {
+	known, ok := c.rollouts[order.Service()]
+	if ok && known.rollout.Order().Version() >= order.Version() {
 		return false
 	}
+	if ok && c.continueWith(known, order, source) {
+		return true
+	}
 	now := c.clock.Now()
 	r, err := rollout.New(c.charts, order, c.config.bounds, now)
 	if err != nil {
@@ -126,9 +133,6 @@
 	if !r.Adopt(c.records[order.Service()]) {
 		r.MergeRecord(now, c.records[order.Service()])
 	}
-	if known, ok := c.rollouts[order.Service()]; ok && known.rollout.IsRolledBack() && c.isRewritten(known.rollout.Order(), order) {
-		r.RollBack()
-	}
 	c.rollouts[order.Service()] = &entry{rollout: r, inForce: c.own[order.Service()] == order.Target()}
 	if order.Service() == c.local.service {
 		c.tally = rollout.NewTally(c.local.node, c.local.release, c.local.instance)
@@ -137,13 +141,41 @@
 	return true
 }
 
-// isRewritten reports whether an order is one of an earlier era of the store that the
-// operators have written again. A rollback of that order is final.
-func (c *Controller) isRewritten(known, order rollout.Order) bool {
-	return known.Version() < c.eraStart && order.Version() >= c.eraStart && known.Target() == order.Target() && known.Duration() == order.Duration()
+// continueWith goes on with a rollout if an order is the same one: that of an older era of
+// the store, which the copy lists or the operators have written again. Operators may write
+// it over that of the copy; removing it first makes it a new one. It reports whether it is
+// the same.
+func (c *Controller) continueWith(e *entry, order rollout.Order, source string) bool {
+	now, before := c.clock.Now(), e.rollout.Order().Version()
+	crossed := c.hooks.eraStart(before) < c.hooks.eraStart(order.Version())
+	if !crossed && (e.rollout.Withdrawn() || !now.Before(e.carriedUntil)) {
+		return false
+	}
+	if !e.rollout.Continue(order) {
+		return false
+	}
+	if crossed {
+		e.carriedUntil = now.Add(restoreHold)
+	}
+	e.heldUntil, e.due = time.Time{}, rollout.Record{}
+	e.rollout.MergeRecord(now, c.records[order.Service()])
+	c.log.Write("rollout-continued", "service", order.Service(), "target", order.Target(), "state", e.rollout.State(), "step", e.rollout.Step(),
+		"elapsed_ms", e.rollout.Elapsed(now).Milliseconds(), "version", order.Version(), "before", before, "source", source)
+	return true
+}
+
+// hold keeps a rollout in force whose order the store has lost, until the operators have
+// had the time to write it again. No step is taken meanwhile.
+func (c *Controller) hold(e *entry, era uint64) {
+	if e.rollout.Withdrawn() || e.isHeld() && e.heldEra == era {
+		return
+	}
+	e.heldUntil, e.heldEra = c.clock.Now().Add(restoreHold), era
+	c.log.Write("rollout-held", "service", e.rollout.Order().Service(), "target", e.rollout.Order().Target(), "state", e.rollout.State(), "step", e.rollout.Step())
 }
 
 func (c *Controller) withdraw(e *entry) {
+	e.heldUntil = time.Time{}
 	if e.rollout.Withdraw() {
 		c.log.Write("rollout-withdrawn", "service", e.rollout.Order().Service(), "target", e.rollout.Order().Target(), "state", e.rollout.State())
 		c.send(e, false)
@@ -160,11 +192,19 @@
 	}
 	c.adopt(order, "peer")
 	e := c.rollouts[order.Service()]
-	if e == nil || e.rollout.Order().Version() != order.Version() {
+	if e == nil {
+		return
+	}
+	// A peer that does not know of a restored store yet states the earlier version of the
+	// order. What it has counted and decided counts; that the store lacks that version does
+	// not.
+	isPresent := e.rollout.Order().Version() == order.Version()
+	if !isPresent && !e.rollout.Continues(order.Version()) {
 		return
 	}
 	e.rollout.LearnElapsed(c.clock.Now(), m.Elapsed())
-	if m.Withdrawn() {
+	if m.Withdrawn() && isPresent {
+		e.heldUntil = time.Time{}
 		e.rollout.Withdraw()
 	}
 	if m.RolledBack() && e.rollout.RollBack() {
--- a/lib/rollout/plan.go
+++ b/lib/rollout/plan.go
@@ -97,7 +97,11 @@
 // Next returns what is due now, given the servers of the service that this node knows.
 func (r *Rollout) Next(now time.Time, servers []Server) Action {
 	if r.stale && !r.withdrawn {
-		return Action{kind: Write, record: r.record}
+		again := r.record
+		if r.IsRolledBack() {
+			again.phase = RolledBack
+		}
+		return Action{kind: Write, record: again}
 	}
 	if r.withdrawn || r.IsComplete() {
 		return Action{}
--- a/lib/rollout/rollout.go
+++ b/lib/rollout/rollout.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"slices"
 	"time"
 
 	"savorygap.example/lib/chart"
@@ -24,6 +25,7 @@
 // Rollout is what a node knows of the rollout of one order.
 type Rollout struct {
 	order          Order
+	earlier        []uint64 // store versions that the order had in older eras of the store
 	bounds         Bounds
 	steps          []step
 	machine        *chart.Machine
@@ -124,6 +126,26 @@
 	return true
 }
 
+// Continue has the rollout go on under another version of its order, which the operators
+// wrote again after the store was restored to an older state, or which the copy has. What
+// is known stays, and the record is written again. It reports false, and changes nothing,
+// for an order of another target or duration, and if the operators had ended the rollout.
+func (r *Rollout) Continue(order Order) bool {
+	ended := r.withdrawn && !r.IsComplete() && !r.IsRolledBack()
+	if ended || order.service != r.order.service || order.target != r.order.target || order.duration != r.order.duration {
+		return false
+	}
+	if r.record.order == r.order.version {
+		r.record.order, r.stale = order.version, true
+	}
+	r.earlier = append(r.earlier, r.order.version)
+	r.order, r.withdrawn = order, false
+	return true
+}
+
+// Continues reports whether the order had a version before the store was restored.
+func (r *Rollout) Continues(version uint64) bool { return slices.Contains(r.earlier, version) }
+
 // Adopt takes over the outcome of an earlier order for the same target: a service that has
 // the version is complete at once. It reports whether that is so.
 func (r *Rollout) Adopt(record Record) bool {
@@ -141,6 +163,10 @@
 // what was acknowledged stays, and is written again. One of a later order waits until that
 // order is known.
 func (r *Rollout) MergeRecord(now time.Time, record Record) bool {
+	renamed := r.Continues(record.order)
+	if renamed {
+		record.order = r.order.version
+	}
 	if record.version <= r.record.version || record.version <= r.lostAt || record.order > r.order.version {
 		return false
 	}
@@ -149,7 +175,7 @@
 		return true
 	}
 	before := r.step()
-	r.record, r.stale = record, false
+	r.record, r.stale = record, renamed
 	if record.order != r.order.version {
 		return true
 	}
--- a/lib/rollout/rollout_test.go
+++ b/lib/rollout/rollout_test.go
@@ -298,6 +298,45 @@
 	must.Eq(t, 4, next.Version())
 }
 
+// TestContinue_KeepsWhatIsKnown guards against a rollout that loses its step, its time or
+// its counts when the operators write its order again after a restore of the store, and
+// against one that operators had ended and that goes on.
+func TestContinue_KeepsWhatIsKnown(t *testing.T) {
+	w := newWorld(t, 1)
+	w.rollout.MergeRecord(w.now, rollout.NewRecord(10, newVersion, oldVersion, rollout.Running, 3, 9*time.Second).WithVersion(11))
+	tally := rollout.NewTally("new-0", newVersion, "i-new-0")
+	for range 8 {
+		tally = tally.Add("/", true)
+	}
+	w.rollout.MergeTally(tally)
+	must.False(t, w.rollout.Continue(rollout.NewOrder("shop", "v3", duration, 1010)))
+	must.False(t, w.rollout.Continue(rollout.NewOrder("shop", newVersion, 2*duration, 1010)))
+	must.True(t, w.rollout.Continue(rollout.NewOrder("shop", newVersion, duration, 1010)))
+	must.Eq(t, 3, w.rollout.Step())
+	must.Eq(t, oldVersion, w.rollout.Previous())
+	must.GreaterEq(t, 9*time.Second, w.rollout.Elapsed(w.now))
+	next := w.rollout.Next(w.now, w.servers()).Record()
+	must.Eq(t, 1010, next.Order())
+	must.Eq(t, 3, next.Step())
+	// A record that a node wrote under the earlier version of the order has more progress.
+	must.True(t, w.rollout.MergeRecord(w.now, rollout.NewRecord(10, newVersion, oldVersion, rollout.Running, 4, 10*time.Second).WithVersion(1020)))
+	must.Eq(t, 4, w.rollout.Step())
+	must.Eq(t, 1010, w.rollout.Next(w.now, w.servers()).Record().Order(), must.Sprint("written again for the order"))
+	second := rollout.NewTally("new-1", newVersion, "i-new-1")
+	for range 8 {
+		second = second.Add("/", true)
+	}
+	w.rollout.MergeTally(second)
+	_, bad := w.rollout.Judge(w.now, []rollout.Server{rollout.NewServer("new-0", newVersion, true), rollout.NewServer("new-1", newVersion, true), rollout.NewServer("old-0", oldVersion, true)})
+	must.True(t, bad, must.Sprint("the counts from before count"))
+	must.True(t, w.rollout.Withdraw())
+	must.True(t, w.rollout.Continue(rollout.NewOrder("shop", newVersion, duration, 2010)), must.Sprint("a rollback is final"))
+	must.True(t, w.rollout.IsRolledBack())
+	ended := newWorld(t, 1)
+	must.True(t, ended.rollout.Withdraw())
+	must.False(t, ended.rollout.Continue(rollout.NewOrder("shop", newVersion, duration, 1010)))
+}
+
 // TestRecord_OfAnotherOrderTakesNothingBack guards against a running rollout that loses its
 // progress to the record of an earlier order, which the copy of a restored store has, and
 // against the record of a later order that is not known yet, over which this one would
--- a/savorygap-node/internal/rollouts/rollouts.go
+++ b/savorygap-node/internal/rollouts/rollouts.go
@@ -40,7 +40,7 @@
 		func(policies map[string]rollout.Policy) { p.Router().SetPolicies(policies) },
 		func(a rollout.Admission) { p.ServerProxy().SetAdmission(a) },
 		func() int { return p.ServerProxy().InFlight() },
-	)
+	).WithEras(p.Store().EraStart)
 	c := control.New(control.NewConfig(t.Host(), t.Service(), rollout.NewBounds(t.RolloutBounds())), p.Charts(), p.Clock(), p.Log(), hooks)
 	p.SetRollouts(c)
 	p.Metrics().RegisterGauge("savorygap_rollouts_under_way", "Rollouts that are under way.", func() float64 { return float64(c.UnderWay()) })
