fleet: remove the hook for a new era of the store

No node used Hooks.WithEraChanged. What it was meant for is decided without it: the fleet has entries and departures written again itself, and lib/rollout/control gets each update with the start of its era before the fleet applies it.

--- a/lib/fleet/era.go
+++ b/lib/fleet/era.go
@@ -20,14 +20,6 @@
 	tagRestoring chart.Tag   = "restoring"
 )
 
-// WithEraChanged returns the hooks with a function that is called after the first full
-// read of a new era of the store, so that records which the store may have lost are
-// written again. eraStart is the lowest version of the era.
-func (h Hooks) WithEraChanged(eraChanged func(eraStart uint64)) Hooks {
-	h.eraChanged = eraChanged
-	return h
-}
-
 // newStoreMachine returns the machine of the chart "store".
 func (f *Fleet) newStoreMachine(charts *chart.Set) (*chart.Machine, error) {
 	store, err := charts.Chart("store")
@@ -111,8 +103,8 @@
 }
 
 // requestRewrites has the records written again that a restored store lacks: the entry
-// and the departure of this node and of the linked ones, and what the eraChanged hook
-// adds. departures are those that the store lists.
+// and the departure of this node and of the linked ones. departures are those that the
+// store lists.
 func (f *Fleet) requestRewrites(departures []registry.Record) {
 	f.fireStore(eventEraRose)
 	stored := map[string][]byte{}
@@ -138,7 +130,6 @@
 			p.link.SendDepartures([]registry.Record{d})
 		}
 	}
-	f.hooks.eraChanged(f.eraStart)
 }
 
 // requestEntry asks a peer to write its entry again if the store does not list it, or
--- a/lib/fleet/hooks.go
+++ b/lib/fleet/hooks.go
@@ -19,7 +19,6 @@
 	watch        func(peer string, started bool)
 	entryLost    func()
 	removeMember func(registry.Record)
-	eraChanged   func(eraStart uint64)
 	suspicions   func([]quarantine.Record)
 	heldRequests func() []quarantine.Record
 	quotas       quotaHooks
@@ -42,7 +41,7 @@
 //     removed from the store.
 func NewHooks(decode func([]byte) (*routeconfig.Config, error), snapshot func(Snapshot), peers func([]Peer), nodes func(int), departures func(records []registry.Record, stored bool), register func(entry registry.Record, exists bool), watch func(peer string, started bool), entryLost func(), removeMember func(registry.Record)) Hooks {
 	return Hooks{decode: decode, snapshot: snapshot, peers: peers, nodes: nodes, departures: departures, register: register, watch: watch, entryLost: entryLost, removeMember: removeMember,
-		suspicions: func([]quarantine.Record) {}, heldRequests: func() []quarantine.Record { return nil }, rollouts: noRollouts(), eraChanged: func(uint64) {}}
+		suspicions: func([]quarantine.Record) {}, heldRequests: func() []quarantine.Record { return nil }, rollouts: noRollouts()}
 }
 
 // WithQuarantine returns the hooks with a function that receives, from the task of a link,
