hedge: latencies of a route are known at one node of many

Cause: a node sends some six requests a second of a route, and a window of 2 s holds fewer of them than the quantile needs. So most requests had no delay after which they are hedged (hedge_after_ms 30000), a single search short of a slot counted as the knee of the service, and a request that was denied a hedge once never asked again. Change: a window lasts until it holds enough latencies, 10 s at most; the knee needs two searches that were short; a request that was denied asks again after a quarter of the delay.

--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -21,6 +21,9 @@
 	// hedgeObjectiveShare is the fraction of the latency objective that must
 	// also have passed by then.
 	hedgeObjectiveShare = 0.5
+	// deniedHedgePause is the fraction, 1 / deniedHedgePause, of the delay of a hedge after
+	// which a request that was denied one asks again.
+	deniedHedgePause = 4
 	// latencyWeight is the weight of the newest latency in a route's moving
 	// average.
 	latencyWeight = 0.05
@@ -56,9 +59,15 @@
 				return p.hedge(ctx, o, started, hedgeSilent)
 			}
 		case <-timer.Chan():
-			if p.mayHedge() && p.takeHedge(ctx) {
+			if !p.mayHedge() {
+				continue
+			}
+			if p.takeHedge(ctx) {
 				return p.hedge(ctx, o, started, hedgeLate)
 			}
+			// The budget of hedges grows with each request: those that have waited longest
+			// ask again.
+			timer.Reset(p.hedgeDelay() / deniedHedgePause)
 		case <-ctx.Done():
 			return p.cancel(o)
 		}
--- a/lib/hedge/hedge.go
+++ b/lib/hedge/hedge.go
@@ -92,7 +92,7 @@
 	s, ok := c.routes[route]
 	if !ok {
 		c.forgetRoutes(now)
-		s = &sketch{startedAt: now}
+		s = newSketch(now, c.quantile)
 		c.routes[route] = s
 	}
 	s.record(now, latency)
@@ -101,7 +101,7 @@
 // forgetRoutes drops the routes without recent requests, which may not exist any more.
 func (c *Controller) forgetRoutes(now time.Time) {
 	for route, s := range c.routes {
-		if now.Sub(s.startedAt) > 2*sketchWindow {
+		if now.Sub(s.startedAt) > 2*maxSketchWindow {
 			delete(c.routes, route)
 		}
 	}
@@ -164,7 +164,7 @@
 }
 
 // pastKnee reports whether more than kneeShare of the searches of the last second were
-// short of a slot.
+// short of a slot. One alone says little where a node searches some ten times a second.
 func (s *service) pastKnee(now time.Time) bool {
 	slot := now.UnixNano() / int64(kneeSlot)
 	total, short := 0, 0
@@ -173,7 +173,7 @@
 			total, short = total+count.total, short+count.short
 		}
 	}
-	return float64(short) > kneeShare*float64(total)
+	return short > 1 && float64(short) > kneeShare*float64(total)
 }
 
 // Take spends a hedge of the request with the given id to a service, or returns why there
--- a/lib/hedge/hedge_test.go
+++ b/lib/hedge/hedge_test.go
@@ -52,6 +52,37 @@
 	must.False(t, ok)
 }
 
+// TestOneNodeOfMany_DelayIsKnown guards against a route that is never hedged because this
+// node sends only some requests a second of it, and against a delay that is kept long after
+// they have ended.
+func TestOneNodeOfMany_DelayIsKnown(t *testing.T) {
+	c := hedge.New(share, quantile, isNestedIn)
+	now := start
+	for n := range 200 {
+		now = start.Add(time.Duration(n) * 200 * time.Millisecond)
+		c.RecordLatency(now, "read", 40*time.Millisecond)
+		_, ok := c.Delay(now, "read")
+		must.Eq(t, n >= 19, ok, must.Sprint(n))
+	}
+	_, ok := c.Delay(now.Add(time.Minute), "read")
+	must.False(t, ok)
+}
+
+// TestFewSearches_OneShortOfASlotIsNotTheKnee guards against hedges that are denied for a
+// second after each search that met a busy server, at a node that searches ten times a second.
+func TestFewSearches_OneShortOfASlotIsNotTheKnee(t *testing.T) {
+	c := hedge.New(1, quantile, isNestedIn)
+	for n := range 10 {
+		c.RecordSent(start, "shop")
+		c.RecordSearch(start.Add(time.Duration(n)*100*time.Millisecond), "shop", n == 5)
+	}
+	now := start.Add(time.Second)
+	must.Eq(t, hedge.Granted, c.Take(now, "shop", "id", false))
+	c.RecordSent(now, "shop")
+	c.RecordSearch(now, "shop", true)
+	must.Eq(t, hedge.DeniedKnee, c.Take(now, "shop", "id", false))
+}
+
 // TestSteadyLoad_ShareIsKeptOverAnySecond guards against a burst of second sends after a
 // quiet time, and against a share that is not used.
 func TestSteadyLoad_ShareIsKeptOverAnySecond(t *testing.T) {
--- a/lib/hedge/sketch.go
+++ b/lib/hedge/sketch.go
@@ -6,9 +6,12 @@
 )
 
 const (
-	// sketchWindow is the length of a window. A quantile is taken over the current and
-	// the last one, so that it follows servers that turn slow within 2 to 4 s.
+	// sketchWindow is the shortest length of a window. A quantile is taken over the current
+	// and the last one, so that it follows servers that turn slow within 2 to 4 s.
 	sketchWindow = 2 * time.Second
+	// maxSketchWindow is the length of a window with too few latencies for the quantile.
+	// One node of many sends only some requests a second of a route.
+	maxSketchWindow = 10 * time.Second
 	// bucketRatio is the ratio of the limits of a bucket. A delay that is up to a tenth
 	// too long costs less than the spread of the latencies.
 	bucketRatio = 1.1
@@ -21,11 +24,19 @@
 var logBucketRatio = math.Log(bucketRatio)
 
 // sketch holds the distribution of the latencies of a route in constant memory and
-// forgets what is older than two windows.
+// forgets what is older than two windows. A window lasts until it holds least latencies.
 type sketch struct {
 	current   [bucketCount]uint32
 	previous  [bucketCount]uint32
+	count     int // in current
+	least     int
 	startedAt time.Time
+	lastAt    time.Time // when the newest latency was recorded
+}
+
+// newSketch returns a sketch for a quantile.
+func newSketch(now time.Time, quantile float64) *sketch {
+	return &sketch{least: int(math.Ceil(1 / max(1-quantile, 0.001))), startedAt: now}
 }
 
 func bucketOf(latency time.Duration) int {
@@ -42,20 +53,22 @@
 
 // advance starts a new window if the current one has ended.
 func (s *sketch) advance(now time.Time) {
-	switch age := now.Sub(s.startedAt); {
-	case age < sketchWindow:
+	age := now.Sub(s.startedAt)
+	if age < sketchWindow || s.count < s.least && age < maxSketchWindow {
 		return
-	case age < 2*sketchWindow:
-		s.previous, s.startedAt = s.current, s.startedAt.Add(sketchWindow)
-	default:
-		s.previous, s.startedAt = [bucketCount]uint32{}, now
 	}
-	s.current = [bucketCount]uint32{}
+	s.previous = s.current
+	if now.Sub(s.lastAt) >= 2*sketchWindow {
+		s.previous = [bucketCount]uint32{}
+	}
+	s.current, s.count, s.startedAt = [bucketCount]uint32{}, 0, now
 }
 
 func (s *sketch) record(now time.Time, latency time.Duration) {
 	s.advance(now)
 	s.current[bucketOf(latency)]++
+	s.count++
+	s.lastAt = now
 }
 
 // quantile returns a quantile of the recent latencies. It reports false while there are
