test(quota): nodes that are cut off serve their part of a limit

Cause: no test failed without the fallback. With a fallback that never has a token, all tests of lib/quota, lib/quota/controller and savorygap-node/internal/pipeline that concern quotas pass. Change: three of ten nodes are cut off, and their fallbacks must grant 0.95 of the usual demand.

--- a/lib/quota/faults_test.go
+++ b/lib/quota/faults_test.go
@@ -204,3 +204,28 @@
 	o.Answer(now, &v, quota.NewQuestion(1, "b", 1, 1, false))
 	must.Eq(t, 1, o.RememberedTenants())
 }
+
+// TestNodesCutOff_ServeTheirPart guards against nodes that are cut off from the owner and refuse
+// every request, although the owner leaves their part of the limit to them.
+func TestNodesCutOff_ServeTheirPart(t *testing.T) {
+	const size, cutOff = 10, 3
+	for seed := range uint64(3) {
+		s := newFleet(seed, size, large)
+		s.load("large", largeRate*usualShare, time.Second, 25*time.Second, evenly)
+		s.run(4 * time.Second)
+		owner, cut := s.owner("large"), 0
+		for _, n := range s.nodes {
+			if n != owner && cut < cutOff {
+				s.isolate(n, 30*time.Second)
+				cut++
+			}
+		}
+		s.run(17 * time.Second) // links are known to be silent after 6 s, the part is granted in full 6 s later
+		granted := s.sources[quota.FromFallback]
+		s.run(25 * time.Second)
+		demand := largeRate * usualShare * 8 * cutOff / size
+		t.Logf("granted by fallbacks %d of %.0f, refused %d", s.sources[quota.FromFallback]-granted, demand, within(s.refused["large"], 17*time.Second, 25*time.Second))
+		must.GreaterEq(t, int(fairShare*demand), s.sources[quota.FromFallback]-granted)
+		mustStayWithinTheBound(t, s, large)
+	}
+}
