fix(quota): one lost link makes no second owner

Cause: a node that loses its link to the owner of a tenant may be the next owner in its own view. It then granted itself R x linked / members, nearly R, beside the owner, for as long as only this link was lost or the owner had not noticed. Change: an owner remembers the members that it has lost its link to. While one of them outranks it, its bucket is the size of its fallback until another node asks it, or all members are linked.

--- a/lib/quota/faults_test.go
+++ b/lib/quota/faults_test.go
@@ -229,3 +229,28 @@
 		mustStayWithinTheBound(t, s, large)
 	}
 }
+
+// TestLinkToTheOwnerIsLostOnOneSide_NoSecondOwner guards against a node that grants itself the
+// whole limit, because it alone has lost the link to the owner and is the next one in its own
+// view. The node gets all requests of the tenant but those of one other node.
+func TestLinkToTheOwnerIsLostOnOneSide_NoSecondOwner(t *testing.T) {
+	for _, size := range []int{3, mesh} {
+		s := newFleet(1, size, large)
+		owner := s.owner("large")
+		owner.alive = false
+		next := s.owner("large")
+		owner.alive = true
+		s.load("large", floodFactor*largeRate*usualShare, time.Second, 12*time.Second, func(i int) float64 {
+			if s.nodes[i] == next || s.nodes[i] == owner {
+				return 1
+			}
+			return 0
+		})
+		s.run(3 * time.Second)
+		next.setLinked(owner, false)
+		s.run(8 * time.Second) // the owner sees from a ping that the link is silent after 5 s
+		owner.setLinked(next, false)
+		s.run(12 * time.Second)
+		mustStayWithinTheBound(t, s, large)
+	}
+}
--- a/lib/quota/node.go
+++ b/lib/quota/node.go
@@ -176,7 +176,7 @@
 	q.wanted = w.wanted(now, q.needed)
 	if owner == n.view.self {
 		q.wanted = q.needed
-		n.applyAnswer(now, w, &openQuestion{number: q.number, tenant: tenant, to: owner, askedAt: now}, n.owner.Answer(now, n.view, q))
+		n.applyAnswer(now, w, &openQuestion{number: q.number, tenant: tenant, to: owner, askedAt: now}, n.owner.answer(now, n.view, q, true))
 		return
 	}
 	if !n.send(owner, q) {
--- a/lib/quota/owner.go
+++ b/lib/quota/owner.go
@@ -1,6 +1,9 @@
 package quota
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// startAge is how long after its first configuration a process counts as just
@@ -18,6 +21,15 @@
 	buckets      map[string]*ownedBucket
 	configuredAt time.Time // the first configuration, or the first question if it came before
 	forgetAt     time.Time // when buckets of removed tenants are next forgotten, zero for never
+	linked       []viewNode
+	lost         []lostNode
+}
+
+// lostNode is a member to which this node has lost its link. It may still grant as an owner, if
+// only the two are cut off from each other.
+type lostNode struct {
+	viewNode
+	at time.Time
 }
 
 // ownedBucket is the bucket of a tenant. started is the part of the start tokens that it
@@ -30,6 +42,11 @@
 	isYoung bool
 	// removedAt is when the tenant was removed, zero while it has a limit.
 	removedAt time.Time
+	// rival reports that the owner before this one may still be at work. Until another node asks,
+	// which has lost its link to that owner too, the bucket holds no more than the fallback of
+	// this node. rivalLostAt is when the link was lost.
+	rival       bool
+	rivalLostAt time.Time
 }
 
 // NewOwner returns an owner without limits.
@@ -77,18 +94,28 @@
 
 // size sets the rate and the capacity of a bucket for a share of the members.
 func (o *Owner) size(now time.Time, b *ownedBucket, l Limit, share float64) {
-	b.bucket.Reconfigure(now, share*l.rate, max(share*o.bounds.Capacity(l), 1))
 	b.limit, b.share = l, share
+	if !b.rival {
+		b.bucket.Reconfigure(now, share*l.rate, max(share*o.bounds.Capacity(l), 1))
+		return
+	}
+	part := share * l.rate / float64(max(len(o.linked), 1))
+	if now.Sub(b.rivalLostAt) < noticePeriod {
+		part *= noticeShare
+	}
+	b.bucket.Reconfigure(now, part, max(part*fallbackPeriod.Seconds(), 1))
 }
 
 // SetView drops the buckets of tenants that this node no longer owns, and adapts the
 // others to the share of the members that it is linked to.
 func (o *Owner) SetView(now time.Time, v *View) {
+	o.recordLost(now, v)
 	for tenant, b := range o.buckets {
 		if v.isAlone() || v.Owner(tenant) != v.self {
 			delete(o.buckets, tenant)
 			continue
 		}
+		b.rival = b.rival && len(o.lost) > 0
 		l, grown := b.limit, v.Share()-b.share
 		o.size(now, b, l, v.Share())
 		if b.isYoung && grown > 0 && now.Sub(o.configuredAt) < startAge {
@@ -99,8 +126,40 @@
 	}
 }
 
-// Answer answers a question.
-func (o *Owner) Answer(now time.Time, v *View, q Question) Answer {
+// recordLost records the nodes that are not in the view any more, unless this node is linked to
+// all members.
+func (o *Owner) recordLost(now time.Time, v *View) {
+	isLinked := make(map[string]bool, len(v.nodes))
+	for _, n := range v.nodes {
+		isLinked[n.name] = true
+	}
+	o.lost = slices.DeleteFunc(o.lost, func(n lostNode) bool { return isLinked[n.name] })
+	for _, n := range o.linked {
+		if !isLinked[n.name] && n.name != v.self {
+			o.lost = append(o.lost, lostNode{viewNode: n, at: now})
+		}
+	}
+	o.linked = v.nodes
+	// Members that were replaced while this node was not linked to all are dropped in order.
+	o.lost = o.lost[max(0, len(o.lost)-(v.members-v.linked)):]
+}
+
+// findRival returns when the link was lost to a node that may still own a tenant. It returns false
+// if there is none.
+func (o *Owner) findRival(v *View, tenant string) (lostAt time.Time, ok bool) {
+	for _, n := range o.lost {
+		if owner(append(slices.Clone(v.nodes), n.viewNode), tenant) == n.name {
+			lostAt, ok = n.at, true
+		}
+	}
+	return lostAt, ok
+}
+
+// Answer answers a question of another node.
+func (o *Owner) Answer(now time.Time, v *View, q Question) Answer { return o.answer(now, v, q, false) }
+
+// answer answers a question. isOwn reports whether this node itself asks.
+func (o *Owner) answer(now time.Time, v *View, q Question, isOwn bool) Answer {
 	l, ok := o.limits[q.tenant]
 	if !ok {
 		l, ok = q.limit()
@@ -119,6 +178,10 @@
 		b = o.newBucket(now, v, l)
 		o.buckets[q.tenant] = b
 	}
+	if b.rival {
+		b.rival = isOwn
+		o.size(now, b, b.limit, b.share)
+	}
 	if q.moved && b.isYoung {
 		// Another owner was at work before this process started.
 		b.bucket.add(now, -b.started)
@@ -144,5 +207,10 @@
 		tokens = b.started
 	}
 	b.bucket = NewBucket(since, b.share*l.rate, max(b.share*o.bounds.Capacity(l), 1), tokens)
+	if b.rivalLostAt, b.rival = o.findRival(v, l.tenant); b.rival {
+		b.bucket = NewBucket(now, 0, 1, takeoverTokens)
+		b.started, b.isYoung = 0, false
+		o.size(now, b, l, b.share)
+	}
 	return b
 }
--- a/lib/quota/view.go
+++ b/lib/quota/view.go
@@ -38,10 +38,12 @@
 
 // Owner returns the node that owns a tenant, by rendezvous hashing, or "" if there is
 // none.
-func (v *View) Owner(tenant string) string {
+func (v *View) Owner(tenant string) string { return owner(v.nodes, tenant) }
+
+func owner(nodes []viewNode, tenant string) string {
 	key := xxhash.Sum64String(tenant)
 	best, highest := "", uint64(0)
-	for _, n := range v.nodes {
+	for _, n := range nodes {
 		if rank := mix(n.hash ^ key); best == "" || rank > highest || rank == highest && n.name < best {
 			best, highest = n.name, rank
 		}
