fix(dispatch): a search that is cut short is no shortage

Cause: when a first send answered while a slot for its hedge was looked for, or a caller left, the search ended without a slot and counted as one of a service past its knee. Up to 50 searches a second, one of them denies all hedges of the next second. Change: a search whose call is cancelled does not count. One that ends with the deadline does.

--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -235,7 +235,7 @@
 	}
 	s := p.newSearch(candidates)
 	o, ok := s.run(ctx, candidates, request)
-	p.recordSearch(s, o, ok, request)
+	p.recordSearch(ctx, s, o, ok, request)
 	switch {
 	case !ok:
 	case o.event.Cost() > maxCost:
--- a/lib/dispatch/hedgelimit.go
+++ b/lib/dispatch/hedgelimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"slices"
 	"time"
@@ -219,9 +220,11 @@
 }
 
 // recordSearch records whether a search found a slot at once, at a server that is not
-// busy. A search for a fast server that finds none says nothing of slots.
-func (p *pendingCall) recordSearch(s *slotSearch, best offer, ok bool, request upstream.SlotRequest) {
-	if !p.plan.hedgesLimited || !ok && request.MaxSlowness() > 0 {
+// busy. A search for a fast server that finds none says nothing of slots, nor does one that is
+// cut short because the other send has answered or the caller has left.
+func (p *pendingCall) recordSearch(ctx context.Context, s *slotSearch, best offer, ok bool, request upstream.SlotRequest) {
+	isCutShort := errors.Is(ctx.Err(), context.Canceled)
+	if !p.plan.hedgesLimited || !ok && (request.MaxSlowness() > 0 || isCutShort) {
 		return
 	}
 	short := !ok || best.event.IsBusy() || s.queued[best.event.Number()]
--- a/lib/dispatch/hedgelimit_test.go
+++ b/lib/dispatch/hedgelimit_test.go
@@ -227,3 +227,27 @@
 	must.Eq(t, before, counts.sent.Load())
 	must.Positive(t, counts.noSlot.Load())
 }
+
+// TestServe_SearchThatIsCutShortIsNoShortage guards against hedges that are denied since the
+// service seems short of slots, because a first send answered while a second slot was looked for.
+func TestServe_SearchThatIsCutShortIsNoShortage(t *testing.T) {
+	late := func(id string) time.Duration {
+		if strings.HasPrefix(id, "late") {
+			return 25 * time.Millisecond
+		}
+		return 5 * time.Millisecond
+	}
+	a, silent := newFakeServer("a", "shop", 1), newFakeServer("silent", "shop", 1)
+	a.respondAfter(t, late)
+	silent.endpoint = upstream.NewEndpoint("silent", func(uint64, upstream.SlotRequest, chan<- upstream.Event) {}, func(uint64) {}, func(uint64, *upstream.Request) {}, func(uint64) {})
+	var counts hedgeCounts
+	r := newLimitedRouter(t, 1, &counts, a, silent)
+	for n := range 40 {
+		must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/read/1", fmt.Sprint("id-", n))).Status())
+	}
+	time.Sleep(1100 * time.Millisecond) // the searches so far do not count any more
+	for n := range 3 {
+		must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/read/1", fmt.Sprint("late-", n))).Status())
+	}
+	must.Eq(t, 0, counts.knee.Load())
+}
--- a/lib/dispatch/reserve.go
+++ b/lib/dispatch/reserve.go
@@ -97,7 +97,7 @@
 	}
 	s := p.newSearch(candidates)
 	best, ok := s.run(ctx, candidates, request)
-	p.recordSearch(s, best, ok, request)
+	p.recordSearch(ctx, s, best, ok, request)
 	p.searchTime += p.router.clock.Since(started)
 	p.serversAsked += s.serversAsked
 	p.reportPressure(s)
