fix(dispatch): what is not to be hedged is not hedged after 30 s

Cause: 30 s, the assumed waiting time of callers, stood for no hedge. With a limit on hedges, a request whose caller waits longer was hedged then, although it went to the target of a rollout or nothing was known of the latencies of its route. Change: such a request has no delay. Without the setting nothing changes; the log still shows 30000. Measured: the test (a fake clock, 31 s) gets one hedge without the change and none with it; go test -race of hedges and versions in ./dispatch passes.

--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -81,6 +81,9 @@
 // a Slowed event.
 func (p *pendingCall) hedgeDelay() time.Duration {
 	mean := p.plan.meanLatency
+	if p.plan.hedgesLimited && (p.plan.canary || !p.plan.hedgeKnown) {
+		return noHedge
+	}
 	if mean == 0 || !p.mayHedge() || p.plan.canary {
 		return defaultTimeLeft
 	}
--- a/lib/dispatch/hedgelimit.go
+++ b/lib/dispatch/hedgelimit.go
@@ -25,6 +25,9 @@
 	deniedNoSlot = "no-slot"
 )
 
+// noHedge is the delay of a request that is not hedged, whatever its deadline.
+const noHedge = time.Duration(math.MaxInt64)
+
 // WithHedging returns the settings with a limit on hedges: share is the largest number of
 // them for each request that this node sends to a service, and a request is hedged after
 // the given quantile of the latencies of its route. Without a share, only the retry
@@ -118,7 +121,7 @@
 	}
 	p.hedgesLimited, p.hedgeAfter = true, defaultTimeLeft
 	if delay, ok := r.hedging.Delay(r.clock.Now(), route); ok {
-		p.hedgeAfter = delay
+		p.hedgeAfter, p.hedgeKnown = delay, true
 	}
 	return p
 }
--- a/lib/dispatch/hedgelimit_test.go
+++ b/lib/dispatch/hedgelimit_test.go
@@ -54,10 +54,14 @@
 }
 
 func newLimitedRouterOf(t testing.TB, config dispatch.Config, counts *hedgeCounts, servers ...*fakeServer) *dispatch.Router {
+	t.Helper()
+	return newLimitedRouterAt(t, clockwork.NewRealClock(), config, counts, servers...)
+}
+
+func newLimitedRouterAt(t testing.TB, clock clockwork.Clock, config dispatch.Config, counts *hedgeCounts, servers ...*fakeServer) *dispatch.Router {
 	t.Helper()
 	charts, err := chart.Embedded()
 	must.NoError(t, err)
-	clock := clockwork.NewRealClock()
 	observer := dispatch.NewObserver(func(string, string, time.Duration) {}, func(string) {}, func(quarantine.Record) {}).WithHedges(counts.count)
 	r, err := dispatch.NewRouter(config, charts, clock, eventlog.New(io.Discard, clock, "self"), observer)
 	must.NoError(t, err)
@@ -251,3 +255,29 @@
 	}
 	must.Eq(t, 0, counts.knee.Load())
 }
+
+// TestServe_LongRequestOfAnUnknownRouteIsNotHedged guards against a hedge after 30 s, the assumed
+// waiting time of callers, of a request whose caller waits longer, while nothing is known of the
+// latencies of its route.
+func TestServe_LongRequestOfAnUnknownRouteIsNotHedged(t *testing.T) {
+	a, b := newFakeServer("a", "shop", 1), newFakeServer("b", "shop", 1.5)
+	clock := clockwork.NewFakeClockAt(time.Now())
+	var counts hedgeCounts
+	config := dispatch.NewConfig("self", "none", "north", dispatch.NewRetryLimits(0.2, 1000, time.Second)).WithHedging(1, 0.95)
+	r := newLimitedRouterAt(t, clock, config, &counts, a, b)
+	done := make(chan *upstream.Response, 1)
+	go func() {
+		done <- r.Serve(context.Background(), callAt(clock.Now(), "/read/1", "id"))
+	}()
+	<-a.submitted
+	events := <-a.pending
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	must.NoError(t, clock.BlockUntilContext(ctx, 1)) // the timer of the hedge
+	clock.Advance(31 * time.Second)
+	time.Sleep(100 * time.Millisecond)
+	must.Eq(t, 0, len(b.submitted))
+	events <- respondWith(http.StatusOK)(1).WithEndpoint(a.endpoint)
+	<-done
+	must.Eq(t, 0, counts.sent.Load())
+}
--- a/lib/dispatch/messages.go
+++ b/lib/dispatch/messages.go
@@ -97,9 +97,10 @@
 	release string // of the servers to ask, "" for any
 	canary  bool   // whether it is the target of a rollout that still has another version
 	// hedgesLimited reports whether the settings limit hedges; hedgeAfter is then how long
-	// an attempt runs before it is hedged.
+	// an attempt runs before it is hedged, if hedgeKnown.
 	hedgesLimited bool
 	hedgeAfter    time.Duration
+	hedgeKnown    bool
 }
 
 // candidate is a server to ask for a slot, with the cost factor of its
