fix(server): the end of a request is not waited for twice

Cause: the body of a response that ends with its connection takes the result of the write, and Finish waits for that result before it uses the connection again. The response to a HEAD request without a length counts as one, and its connection can be used again: Finish then waited 5 s for a result that was taken, with the slot in use. Change: the result is put back for Finish.

--- a/lib/server/complete.go
+++ b/lib/server/complete.go
@@ -63,6 +63,7 @@
 	}
 	select {
 	case err := <-x.writeDone:
+		x.writeDone <- err // for Finish, which waits for it too
 		return err
 	case <-x.ctx.Done():
 		return x.ctx.Err()
--- a/lib/server/complete_test.go
+++ b/lib/server/complete_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -101,3 +102,23 @@
 		must.True(t, errors.As(err, &unknown), must.Sprintf("%q", status))
 	}
 }
+
+// TestAttempt_HeadWithABodyReleasesItsSlot guards against a slot that is held for 5 s after the
+// response to a HEAD request that has a body and whose response states no length: the end of the
+// request was waited for twice.
+func TestAttempt_HeadWithABodyReleasesItsSlot(t *testing.T) {
+	h := newHarness(t)
+	address := startRawServer(t, func(conn *net.TCPConn, rest *bufio.Reader) {
+		_, _ = io.CopyN(io.Discard, rest, 3)
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+		_, _ = io.Copy(io.Discard, rest)
+	})
+	h.announce(t, address, "i", false)
+	response, err := h.runner.Attempt(h.ctx, newCall(address, "HEAD", 3), strings.NewReader("abc"))
+	must.NoError(t, err)
+	_, err = io.ReadAll(response.Body())
+	must.NoError(t, err)
+	startedAt := time.Now()
+	response.Finish(nil)
+	must.Less(t, 2*time.Second, time.Since(startedAt))
+}
