fix(routeconfig): tenants keep the order of the configuration

Cause: the list of tenants had the random order of a map. If two tenants have one name, the last limit counts, so nodes could apply different ones, and the owner another than those that ask it. Change: the list is kept in order. Measured: the test fails without the change and passes with it; go test -race ./routeconfig passes.

--- a/lib/routeconfig/routeconfig.go
+++ b/lib/routeconfig/routeconfig.go
@@ -223,6 +223,7 @@
 	limits     Limits
 	routeCount int
 	tenants    map[string]*Tenant // by API key
+	withKeys   []*Tenant          // in the order of the configuration
 	hasTenants bool
 	rates      map[string]float64 // of the tenants that have one, by name
 	meanRate   float64
--- a/lib/routeconfig/tenant.go
+++ b/lib/routeconfig/tenant.go
@@ -47,7 +47,11 @@
 func (c *Config) WithTenants(tenants []Tenant) *Config {
 	copied := *c
 	copied.hasTenants, copied.tenants, copied.rates, copied.meanRate = len(tenants) > 0, map[string]*Tenant{}, map[string]float64{}, 0
+	copied.withKeys = nil
 	for i := range tenants {
+		if len(tenants[i].keys) > 0 {
+			copied.withKeys = append(copied.withKeys, &tenants[i])
+		}
 		for _, key := range tenants[i].keys {
 			copied.tenants[key] = &tenants[i]
 		}
@@ -59,18 +63,9 @@
 	return &copied
 }
 
-// Tenants returns the tenants that have an API key, in no particular order.
-func (c *Config) Tenants() []*Tenant {
-	seen := make(map[*Tenant]bool, len(c.tenants))
-	list := make([]*Tenant, 0, len(c.tenants))
-	for _, t := range c.tenants {
-		if !seen[t] {
-			seen[t] = true
-			list = append(list, t)
-		}
-	}
-	return list
-}
+// Tenants returns the tenants that have an API key, in the order of the configuration. The
+// caller must not change the list.
+func (c *Config) Tenants() []*Tenant { return c.withKeys }
 
 // TenantWeight returns the share of scarce capacity that the named tenant is due, relative
 // to those of other tenants: its rate, or the mean rate for one without a rate and for
--- a/lib/routeconfig/tenant_test.go
+++ b/lib/routeconfig/tenant_test.go
@@ -1,6 +1,7 @@
 package routeconfig_test
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -33,6 +34,21 @@
 	must.Eq(t, 0.0, band.Rate())
 }
 
+// TestTenants_AreInTheOrderOfTheConfiguration guards against nodes that apply different limits to
+// tenants of one name: the last one counts.
+func TestTenants_AreInTheOrderOfTheConfiguration(t *testing.T) {
+	var tenants []routeconfig.Tenant
+	for n := range 20 {
+		tenants = append(tenants, routeconfig.NewTenant("choir", []string{fmt.Sprint("a", n), fmt.Sprint("b", n)}).WithQuota(float64(n), 0))
+	}
+	tenants = append(tenants, routeconfig.NewTenant("no key", nil))
+	list := routeconfig.New(1, nil, nil, routeconfig.DefaultLimits()).WithTenants(tenants).Tenants()
+	must.Len(t, 20, list)
+	for n, tenant := range list {
+		must.Eq(t, float64(n), tenant.Rate())
+	}
+}
+
 // TestTenantWeight_IsItsRateOrTheMean guards against a tenant without a rate, or a request
 // without a tenant, that counts as a very small or very large one.
 func TestTenantWeight_IsItsRateOrTheMean(t *testing.T) {
