--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -90,6 +90,9 @@
 // a Slowed event.
 func (p *pendingCall) hedgeDelay() time.Duration {
 	mean := p.plan.meanLatency
+	if p.plan.hedgesLimited && (p.plan.canary || !p.plan.hedgeKnown) {
+		return noHedge
+	}
 	if mean == 0 || !p.mayHedge() || p.plan.canary {
 		return defaultTimeLeft
 	}
@@ -244,7 +247,7 @@
 	}
 	s := p.newSearch(candidates)
 	o, ok := s.run(ctx, candidates, request)
-	p.recordSearch(s, o, ok, request)
+	p.recordSearch(ctx, s, o, ok, request)
 	switch {
 	case !ok:
 	case o.event.Cost() > maxCost:
--- a/lib/dispatch/hedgelimit.go
+++ b/lib/dispatch/hedgelimit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"slices"
 	"time"
@@ -24,6 +25,9 @@
 	deniedNoSlot = "no-slot"
 )
 
+// noHedge is the delay of a request that is not hedged, whatever its deadline.
+const noHedge = time.Duration(math.MaxInt64)
+
 // WithHedging returns the settings with a limit on hedges: share is the largest number of
 // them for each request that this node sends to a service, and a request is hedged after
 // the given quantile of the latencies of its route. Without a share, only the retry
@@ -117,7 +121,7 @@
 	}
 	p.hedgesLimited, p.hedgeAfter = true, defaultTimeLeft
 	if delay, ok := r.hedging.Delay(r.clock.Now(), route); ok {
-		p.hedgeAfter = delay
+		p.hedgeAfter, p.hedgeKnown = delay, true
 	}
 	return p
 }
@@ -219,9 +223,11 @@
 }
 
 // recordSearch records whether a search found a slot at once, at a server that is not
-// busy. A search for a fast server that finds none says nothing of slots.
-func (p *pendingCall) recordSearch(s *slotSearch, best offer, ok bool, request upstream.SlotRequest) {
-	if !p.plan.hedgesLimited || !ok && request.MaxSlowness() > 0 {
+// busy. A search for a fast server that finds none says nothing of slots, nor does one that is
+// cut short because the other send has answered or the caller has left.
+func (p *pendingCall) recordSearch(ctx context.Context, s *slotSearch, best offer, ok bool, request upstream.SlotRequest) {
+	isCutShort := errors.Is(ctx.Err(), context.Canceled)
+	if !p.plan.hedgesLimited || !ok && (request.MaxSlowness() > 0 || isCutShort) {
 		return
 	}
 	short := !ok || best.event.IsBusy() || s.queued[best.event.Number()]
--- a/lib/dispatch/hedgelimit_test.go
+++ b/lib/dispatch/hedgelimit_test.go
@@ -54,10 +54,14 @@
 }
 
 func newLimitedRouterOf(t testing.TB, config dispatch.Config, counts *hedgeCounts, servers ...*fakeServer) *dispatch.Router {
+	t.Helper()
+	return newLimitedRouterAt(t, clockwork.NewRealClock(), config, counts, servers...)
+}
+
+func newLimitedRouterAt(t testing.TB, clock clockwork.Clock, config dispatch.Config, counts *hedgeCounts, servers ...*fakeServer) *dispatch.Router {
 	t.Helper()
 	charts, err := chart.Embedded()
 	must.NoError(t, err)
-	clock := clockwork.NewRealClock()
 	observer := dispatch.NewObserver(func(string, string, time.Duration) {}, func(string) {}, func(quarantine.Record) {}).WithHedges(counts.count)
 	r, err := dispatch.NewRouter(config, charts, clock, eventlog.New(io.Discard, clock, "self"), observer)
 	must.NoError(t, err)
@@ -227,3 +231,53 @@
 	must.Eq(t, before, counts.sent.Load())
 	must.Positive(t, counts.noSlot.Load())
 }
+
+// TestServe_SearchThatIsCutShortIsNoShortage guards against hedges that are denied since the
+// service seems short of slots, because a first send answered while a second slot was looked for.
+func TestServe_SearchThatIsCutShortIsNoShortage(t *testing.T) {
+	late := func(id string) time.Duration {
+		if strings.HasPrefix(id, "late") {
+			return 25 * time.Millisecond
+		}
+		return 5 * time.Millisecond
+	}
+	a, silent := newFakeServer("a", "shop", 1), newFakeServer("silent", "shop", 1)
+	a.respondAfter(t, late)
+	silent.endpoint = upstream.NewEndpoint("silent", func(uint64, upstream.SlotRequest, chan<- upstream.Event) {}, func(uint64) {}, func(uint64, *upstream.Request) {}, func(uint64) {})
+	var counts hedgeCounts
+	r := newLimitedRouter(t, 1, &counts, a, silent)
+	for n := range 40 {
+		must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/read/1", fmt.Sprint("id-", n))).Status())
+	}
+	time.Sleep(1100 * time.Millisecond) // the searches so far do not count any more
+	for n := range 3 {
+		must.Eq(t, http.StatusOK, r.Serve(context.Background(), call("/read/1", fmt.Sprint("late-", n))).Status())
+	}
+	must.Eq(t, 0, counts.knee.Load())
+}
+
+// TestServe_LongRequestOfAnUnknownRouteIsNotHedged guards against a hedge after 30 s, the assumed
+// waiting time of callers, of a request whose caller waits longer, while nothing is known of the
+// latencies of its route.
+func TestServe_LongRequestOfAnUnknownRouteIsNotHedged(t *testing.T) {
+	a, b := newFakeServer("a", "shop", 1), newFakeServer("b", "shop", 1.5)
+	clock := clockwork.NewFakeClockAt(time.Now())
+	var counts hedgeCounts
+	config := dispatch.NewConfig("self", "none", "north", dispatch.NewRetryLimits(0.2, 1000, time.Second)).WithHedging(1, 0.95)
+	r := newLimitedRouterAt(t, clock, config, &counts, a, b)
+	done := make(chan *upstream.Response, 1)
+	go func() {
+		done <- r.Serve(context.Background(), callAt(clock.Now(), "/read/1", "id"))
+	}()
+	<-a.submitted
+	events := <-a.pending
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	must.NoError(t, clock.BlockUntilContext(ctx, 1)) // the timer of the hedge
+	clock.Advance(31 * time.Second)
+	time.Sleep(100 * time.Millisecond)
+	must.Eq(t, 0, len(b.submitted))
+	events <- respondWith(http.StatusOK)(1).WithEndpoint(a.endpoint)
+	<-done
+	must.Eq(t, 0, counts.sent.Load())
+}
