node: the version of a server outlives the nodes that know it

Versions of servers were remembered by the nodes that heard the announcement. When all nodes restarted at once, none knew any version until the servers announced themselves again: during a rollout and after one no server got requests, and without an order every server did, also those of a version that no order names.

Where rollouts are followed, a node now writes the instance and the version of its server into its entry in the store, once an instance. A process that starts reads its own entry with its first full read; when the health check shows that instance, its version is known (serverproxy.Proxy.RecallRelease). After a restore the entry is written again if the copy states another server. Without the settings the entry is as before.

--- a/lib/fleet/encoding.go
+++ b/lib/fleet/encoding.go
@@ -14,11 +14,13 @@
 	DataCentre string `json:"dataCentre"`
 	Service    string `json:"service"`
 	Read       uint64 `json:"read"`
+	Instance   string `json:"instance,omitempty"`
+	Release    string `json:"release,omitempty"`
 }
 
 // EncodeMember encodes a member as a record.
 func EncodeMember(m Member) (registry.Record, error) {
-	text, err := json.Marshal(memberForm{Address: m.address, DataCentre: m.dataCentre, Service: m.service, Read: m.readVersion})
+	text, err := json.Marshal(memberForm{Address: m.address, DataCentre: m.dataCentre, Service: m.service, Read: m.readVersion, Instance: m.instance, Release: m.release})
 	if err != nil {
 		return registry.Record{}, fmt.Errorf("encode the entry of node %q: %w", m.node, err)
 	}
@@ -37,5 +39,5 @@
 	if err := socket.CheckAddress(form.Address); err != nil {
 		return Member{}, fmt.Errorf("entry of node %q: %w", r.Name(), err)
 	}
-	return NewMember(r.Name(), form.Address, form.DataCentre, form.Service).WithReadVersion(form.Read), nil
+	return NewMember(r.Name(), form.Address, form.DataCentre, form.Service).WithReadVersion(form.Read).WithServer(form.Instance, form.Release), nil
 }
--- a/lib/fleet/era.go
+++ b/lib/fleet/era.go
@@ -115,7 +115,7 @@
 		d, ok := f.departures[node]
 		return d, ok && !bytes.Equal(d.Value(), stored[node])
 	}
-	if own, ok := f.members[f.self.node]; !ok || !own.sameAs(f.self) {
+	if own, ok := f.members[f.self.node]; !ok || !own.sameAs(f.self) || !own.hasServerOf(f.self) {
 		f.hooks.entryLost()
 	}
 	if d, ok := lacks(f.self.node); ok {
@@ -136,7 +136,9 @@
 // lists an older one.
 func (f *Fleet) requestEntry(p *peerLink) {
 	m := f.members[p.hello.Node()]
-	if m.version == 0 || m.address != p.hello.Address() || m.dataCentre != p.hello.DataCentre() {
+	instance, release := p.serverState.Instance(), p.serverState.Release()
+	lacksServer := release != "" && (m.instance != instance || m.release != release)
+	if m.version == 0 || m.address != p.hello.Address() || m.dataCentre != p.hello.DataCentre() || lacksServer {
 		p.link.SendSignal(link.EntryLost)
 	}
 }
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -18,6 +18,7 @@
 	"savorygap.example/lib/limiter"
 	"savorygap.example/lib/link"
 	"savorygap.example/lib/registry"
+	"savorygap.example/lib/rollout"
 	"savorygap.example/lib/routeconfig"
 	"savorygap.example/lib/upstream"
 )
@@ -34,6 +35,7 @@
 	entryLost  chan struct{}
 	removals   chan registry.Record
 	departures chan []registry.Record
+	servers    chan [2]string // instance and version
 	stop       context.CancelFunc
 }
 
@@ -60,14 +62,16 @@
 	must.NoError(t, err)
 	n := &node{
 		address: listener.Addr().String(), snapshots: make(chan fleet.Snapshot, 64), peers: make(chan []fleet.Peer, 64),
-		watches: make(chan bool, 64), entries: make(chan entry, 4), entryLost: make(chan struct{}, 16), removals: make(chan registry.Record, 16), departures: make(chan []registry.Record, 16),
+		watches: make(chan bool, 64), entries: make(chan entry, 4), entryLost: make(chan struct{}, 16), removals: make(chan registry.Record, 16), departures: make(chan []registry.Record, 16), servers: make(chan [2]string, 16),
 	}
 	decode := func(text []byte) (*routeconfig.Config, error) {
 		return routeconfig.New(uint64(len(text)), nil, nil, routeconfig.DefaultLimits()), nil
 	}
 	hooks := fleet.NewHooks(decode, func(s fleet.Snapshot) { n.snapshots <- s }, func(p []fleet.Peer) { n.peers <- p },
 		func(int) {}, func(d []registry.Record, _ bool) { n.departures <- d }, func(r registry.Record, exists bool) { n.entries <- entry{r, exists} }, func(_ string, started bool) { n.watches <- started },
-		func() { n.entryLost <- struct{}{} }, func(r registry.Record) { n.removals <- r })
+		func() { n.entryLost <- struct{}{} }, func(r registry.Record) { n.removals <- r }).
+		WithRollouts(func(registry.Update) {}, func(rollout.Message) {}, func() []rollout.Message { return nil },
+			func(instance, release string) { n.servers <- [2]string{instance, release} })
 	handler := link.NewHandler(func(limiter.Key, upstream.SlotRequest, func(upstream.Event)) {}, func(limiter.Key) {},
 		func(limiter.Key, *upstream.Request) {}, func(limiter.Key) {}, func(uint64) {}, upstream.NewBodyMemory(1<<20), upstream.NewBodyMemory(1<<20))
 	self := fleet.NewMember(name, n.address, "north", "shop").WithBandwidth(bandwidth)
--- a/lib/fleet/links.go
+++ b/lib/fleet/links.go
@@ -191,6 +191,7 @@
 
 func (f *Fleet) setServerState(s link.ServerState) {
 	f.serverState = s
+	f.recordServer(s)
 	for _, p := range f.links {
 		p.link.SendServerState(s)
 	}
--- a/lib/fleet/member.go
+++ b/lib/fleet/member.go
@@ -17,6 +17,8 @@
 	bandwidth   float64
 	readVersion uint64
 	version     uint64
+	instance    string
+	release     string
 }
 
 // NewMember returns a member that accepts links at address.
@@ -38,12 +40,24 @@
 	return m
 }
 
+// WithServer returns the member with the instance of the server on the node's host and its
+// version, which the node states where rollouts are followed.
+func (m Member) WithServer(instance, release string) Member {
+	m.instance, m.release = instance, release
+	return m
+}
+
 // sameAs reports whether two entries of one node give the same address, data
 // centre and service.
 func (m Member) sameAs(other Member) bool {
 	return m.address == other.address && m.dataCentre == other.dataCentre && m.service == other.service
 }
 
+// hasServerOf reports whether an entry states the same server as another.
+func (m Member) hasServerOf(other Member) bool {
+	return m.instance == other.instance && m.release == other.release
+}
+
 // Node returns the name of the node.
 func (m Member) Node() string { return m.node }
 
@@ -56,6 +70,10 @@
 // Service returns the service of the server on the node's host.
 func (m Member) Service() string { return m.service }
 
+// Server returns the instance of the server on the node's host that last announced its
+// version to the node, and that version, "" for none.
+func (m Member) Server() (instance, release string) { return m.instance, m.release }
+
 // Peer is a node to which this node has a link.
 type Peer struct {
 	node        string
--- a/lib/fleet/update.go
+++ b/lib/fleet/update.go
@@ -129,11 +129,19 @@
 // process, is kept if it is still correct.
 func (f *Fleet) registerSelf(version uint64, existing *registry.Record) {
 	if existing != nil {
-		if m, err := DecodeMember(*existing); err == nil && m.sameAs(f.self) {
-			f.hooks.register(*existing, true)
-			return
+		if m, err := DecodeMember(*existing); err == nil {
+			f.recallServer(m)
+			if m.sameAs(f.self) && m.hasServerOf(f.self) {
+				f.hooks.register(*existing, true)
+				return
+			}
 		}
 	}
+	f.writeSelf(version)
+}
+
+// writeSelf passes the entry of this node to the register hook, to be written.
+func (f *Fleet) writeSelf(version uint64) {
 	record, err := EncodeMember(f.self.WithReadVersion(version))
 	if err != nil {
 		f.log.Write("member-unwritable", "node", f.self.node, "error", err.Error())
--- a/lib/rollout/rollout_test.go
+++ b/lib/rollout/rollout_test.go
@@ -362,3 +362,22 @@
 	must.False(t, w.rollout.LoseRecord(1020))
 	must.Eq(t, 0, w.rollout.Next(w.now, w.servers()).Record().Version())
 }
+
+// TestPlay_AllNodesRestart has all nodes restart at some time of the rollout of a bad
+// version, so that they know its record and no counts. It guards against exposure above the
+// bounds, which hold over the whole rollout.
+func TestPlay_AllNodesRestart(t *testing.T) {
+	for name, bad := range map[string]func(after time.Duration, perSecond float64) float64{
+		"half":       func(time.Duration, float64) float64 { return 0.5 },
+		"slow":       func(time.Duration, float64) float64 { return 1 },
+		"late":       func(after time.Duration, _ float64) float64 { return min(0.5, max(0, after.Seconds()-4)) },
+		"under load": func(_ time.Duration, perSecond float64) float64 { return min(0.5, max(0, perSecond-14)) },
+	} {
+		for seed := range uint64(seeds) {
+			w := newWorld(t, seed)
+			w.restartAt = 500*time.Millisecond + time.Duration(seed)*250*time.Millisecond
+			w.bad = func(after time.Duration, _ int, perSecond float64) float64 { return bad(after, perSecond) }
+			mustBeRolledBack(t, w.play(), fmt.Sprint(name, ", restart after ", 500+250*seed, " ms"))
+		}
+	}
+}
--- a/lib/rollout/world_test.go
+++ b/lib/rollout/world_test.go
@@ -25,23 +25,26 @@
 // world plays a rollout in virtual time: requests are divided by the policy of the
 // rollout among servers, whose responses are bad with a probability that the test sets.
 type world struct {
-	random    *rand.Rand
-	rollout   *rollout.Rollout
-	start     time.Time
-	now       time.Time
-	version   uint64
-	rate      float64 // requests per second
-	routes    int
-	old       int
-	targets   int
-	loss      float64         // probability that a sound server's response is bad
-	faulty    map[string]bool // servers that fail half of their requests
-	storeAway func(after time.Duration) bool
-	bad       func(after time.Duration, route int, perSecond float64) float64 // of the target version
-	badOld    float64                                                         // of the old version
-	tallies   map[string]rollout.Tally
-	credit    float64
-	result    result
+	random     *rand.Rand
+	rollout    *rollout.Rollout
+	newRollout func() *rollout.Rollout
+	start      time.Time
+	now        time.Time
+	version    uint64
+	rate       float64 // requests per second
+	routes     int
+	old        int
+	targets    int
+	loss       float64         // probability that a sound server's response is bad
+	faulty     map[string]bool // servers that fail half of their requests
+	storeAway  func(after time.Duration) bool
+	bad        func(after time.Duration, route int, perSecond float64) float64 // of the target version
+	badOld     float64                                                         // of the old version
+	tallies    map[string]rollout.Tally
+	credit     float64
+	result     result
+	restartAt  time.Duration  // when all nodes restart, 0 for never
+	record     rollout.Record // as the store has it
 }
 
 // result is what came of a played rollout.
@@ -67,11 +70,22 @@
 		storeAway: func(time.Duration) bool { return false }, bad: func(time.Duration, int, float64) float64 { return 0 },
 	}
 	w.now = w.start
-	w.rollout, err = rollout.New(charts, rollout.NewOrder("shop", newVersion, duration, w.version), bounds, w.now)
-	must.NoError(t, err)
+	w.newRollout = func() *rollout.Rollout {
+		r, err := rollout.New(charts, rollout.NewOrder("shop", newVersion, duration, 10), bounds, w.now)
+		must.NoError(t, err)
+		return r
+	}
+	w.rollout = w.newRollout()
 	return w
 }
 
+// restart has all nodes forget what the store does not have.
+func (w *world) restart() {
+	w.rollout = w.newRollout()
+	w.rollout.MergeRecord(w.now, w.record)
+	clear(w.tallies)
+}
+
 func (w *world) servers() []rollout.Server {
 	var list []rollout.Server
 	for i := range w.old {
@@ -104,6 +118,10 @@
 
 func (w *world) playTick() {
 	after, servers := w.now.Sub(w.start), w.servers()
+	if w.restartAt > 0 && after >= w.restartAt {
+		w.restartAt = 0
+		w.restart()
+	}
 	w.sendRequests(after, servers)
 	for _, t := range w.tallies {
 		w.rollout.MergeTally(t)
@@ -116,7 +134,8 @@
 		return
 	}
 	w.version++
-	w.rollout.MergeRecord(w.now, action.Record().WithVersion(w.version))
+	w.record = action.Record().WithVersion(w.version)
+	w.rollout.MergeRecord(w.now, w.record)
 	w.result.steps = append(w.result.steps, after)
 	if w.rollout.IsComplete() {
 		w.result.endedAfter = after
--- a/lib/serverproxy/messages.go
+++ b/lib/serverproxy/messages.go
@@ -25,6 +25,7 @@
 	checkResult *healthResult
 	stop        *upstream.Shutdown
 	admission   *rollout.Admission
+	recalled    *recalledServer
 	drain       bool
 	runQuery    *runQuery
 	pressure    *pressureReport
@@ -137,6 +138,8 @@
 		p.handleHealthResult(m.checkResult)
 	case m.admission != nil:
 		p.setAdmission(*m.admission)
+	case m.recalled != nil:
+		p.recalled = *m.recalled
 	case m.stop != nil:
 		p.handleStop(*m.stop)
 	case m.runQuery != nil:
--- a/lib/serverproxy/proxy.go
+++ b/lib/serverproxy/proxy.go
@@ -113,6 +113,7 @@
 	observer  Observer
 	published ServerState
 	admission rollout.Admission
+	recalled  recalledServer
 }
 
 // Observer receives measurements through its function fields.
--- a/lib/serverproxy/versions.go
+++ b/lib/serverproxy/versions.go
@@ -61,13 +61,29 @@
 // SetAdmission sets which versions accept requests. Until then none does.
 func (p *Proxy) SetAdmission(a rollout.Admission) { p.inbox.Send(message{admission: &a}) }
 
+// recalledServer is an instance that announced its version to an earlier process of this
+// node.
+type recalledServer struct {
+	instance string
+	release  string
+}
+
+// RecallRelease states the version that an instance announced to an earlier process of this
+// node. It counts until the instance announces itself to this one.
+func (p *Proxy) RecallRelease(instance, release string) {
+	p.inbox.Send(message{recalled: &recalledServer{instance: instance, release: release}})
+}
+
 // knownRelease returns the version of the present instance, "" if it has not announced it
-// to this process.
+// to this node.
 func (p *Proxy) knownRelease() string {
-	if !p.announced {
-		return ""
+	switch {
+	case p.announced:
+		return p.latest.release
+	case p.instance != "" && p.instance == p.recalled.instance:
+		return p.recalled.release
 	}
-	return p.latest.release
+	return ""
 }
 
 // setAdmission revokes the offers of a server whose version no longer accepts requests.
--- a/lib/serverproxy/versions_test.go
+++ b/lib/serverproxy/versions_test.go
@@ -150,3 +150,25 @@
 	r.settle()
 	must.Eq(t, 0, len(judged))
 }
+
+// TestVersions_RecalledOneCountsForItsInstance has a node that learns from its entry in the
+// store which version its server announced before the node restarted. It guards against a
+// version that no other node can know, and against one of another instance.
+func TestVersions_RecalledOneCountsForItsInstance(t *testing.T) {
+	for instance, want := range map[string]string{"i-1": "v1", "i-0": ""} {
+		r := newRigWith(t, func(c serverproxy.Config) serverproxy.Config { return c.WithRollouts(func(serverproxy.Judgement) {}) })
+		r.proxy.RecallRelease(instance, "v1")
+		r.proxy.SetAdmission(rollout.NewAdmission(false, "v1"))
+		r.awaitState("open")
+		r.settle()
+		release := ""
+		for len(r.states) > 0 {
+			release = (<-r.states).Release()
+		}
+		must.Eq(t, want, release, must.Sprint(instance))
+		kind := (<-r.reserveVersion(1, "")).Kind()
+		must.Eq(t, want != "", kind == upstream.Offered, must.Sprint(instance))
+		must.True(t, r.announce(announcement("i-1", 1, 1).WithLocation("north", "v2")))
+		must.Eq(t, upstream.Refused, (<-r.reserveVersion(2, "v1")).Kind(), must.Sprint("the instance states another version"))
+	}
+}
--- a/savorygap-node/internal/pipeline/rollout_restore_test.go
+++ b/savorygap-node/internal/pipeline/rollout_restore_test.go
@@ -20,14 +20,14 @@
 	return record.Step
 }
 
-// rolloutCluster starts a caller, two servers of version v1 and two of v2, and sends
-// requests to them.
-func rolloutCluster(t *testing.T) (cl *cluster, old, next []*host, l *load) {
+// rolloutCluster starts a caller, two servers of version v1 and two of v2, which take
+// serviceTime, and sends requests to them.
+func rolloutCluster(t *testing.T, serviceTime time.Duration) (cl *cluster, old, next []*host, l *load) {
 	t.Helper()
 	cl = newCluster(t)
 	caller := cl.addRolloutHost(t, "till", "t1", 0)
-	old = []*host{cl.addRolloutHost(t, "shop", "v1", 20*time.Millisecond), cl.addRolloutHost(t, "shop", "v1", 20*time.Millisecond)}
-	next = []*host{cl.addRolloutHost(t, "shop", "v2", 20*time.Millisecond), cl.addRolloutHost(t, "shop", "v2", 20*time.Millisecond)}
+	old = []*host{cl.addRolloutHost(t, "shop", "v1", serviceTime), cl.addRolloutHost(t, "shop", "v1", serviceTime)}
+	next = []*host{cl.addRolloutHost(t, "shop", "v2", serviceTime), cl.addRolloutHost(t, "shop", "v2", serviceTime)}
 	l = startCallers([]*host{caller, old[0]}, 80)
 	time.Sleep(300 * time.Millisecond)
 	return cl, old, next, l
@@ -38,7 +38,7 @@
 // rollout that starts over, which misses its deadline, against one that takes a step while
 // the store lacks its order, and against requests that fail because of it.
 func TestRestoredStore_RolloutGoesOn(t *testing.T) {
-	cl, old, next, l := rolloutCluster(t)
+	cl, old, next, l := rolloutCluster(t, 20*time.Millisecond)
 	earlier := cl.store.Copy()
 	const duration = 7 * time.Second
 	cl.store.OrderRollout("shop", "v2", duration)
@@ -66,7 +66,7 @@
 // versions, and has the operators write the order over that of the copy. It guards against
 // a rollout that returns to the step of the copy or starts over.
 func TestRestoredStore_OlderRecordOfARolloutIsReplaced(t *testing.T) {
-	cl, _, _, l := rolloutCluster(t)
+	cl, _, _, l := rolloutCluster(t, 20*time.Millisecond)
 	const duration = 7 * time.Second
 	cl.store.OrderRollout("shop", "v2", duration)
 	ordered := time.Now()
@@ -87,7 +87,7 @@
 // to a copy with its running rollout, and has the operators write the order again. It
 // guards against a bad version that gets requests a second time.
 func TestRestoredStore_RollbackIsKept(t *testing.T) {
-	cl, _, next, l := rolloutCluster(t)
+	cl, _, next, l := rolloutCluster(t, 20*time.Millisecond)
 	for _, h := range next {
 		h.server.SetFailures(2, "/")
 	}
--- a/savorygap-node/internal/rollouts/rollouts.go
+++ b/savorygap-node/internal/rollouts/rollouts.go
@@ -74,7 +74,7 @@
 	if c == nil {
 		return hooks
 	}
-	return hooks.WithRollouts(c.ApplyUpdate, c.Receive, c.Current)
+	return hooks.WithRollouts(c.ApplyUpdate, c.Receive, c.Current, p.ServerProxy().RecallRelease)
 }
 
 // SetPeers tells the task which servers the peers have.
