rollout: an abandoned target version is not taken for that of the service

An order that replaced a running one found the version of the service by the majority of the servers that are not of its own target. Where the abandoned target had the most servers, it got all requests. Where the new order named the version in force, to end the rollout, the abandoned version was the only other one and got 96 in 100 requests.

The newest record of the service, of whichever order, now states the version that the service has: the previous one until the rollout is complete. It is used for the first record of a new order, and for the admission and the policy until then and without an order. The majority decides only where no record exists or no server has that version.

--- a/lib/rollout/control/control_test.go
+++ b/lib/rollout/control/control_test.go
@@ -432,3 +432,65 @@
 		}
 	}
 }
+
+// orderOf returns the order, written at a version, of a target version.
+func orderOf(target string, version uint64) registry.Update {
+	r := registry.NewRecord(registry.KindRolloutOrder, "shop", []byte(target)).WithVersion(version)
+	return registry.NewUpdate([]registry.Record{r}, version, false)
+}
+
+// mustBaseOn checks that the requests which are not sent to the target version of an order
+// go to version v1, from now until the record of the order is written, and returns that.
+func (n *node) mustBaseOn(t *testing.T, order uint64) rollout.Record {
+	t.Helper()
+	for {
+		select {
+		case p := <-n.policies:
+			must.Eq(t, "v1", p["shop"].Base())
+		case next := <-n.writes:
+			if next.Order() == order {
+				return next
+			}
+			n.results <- errors.New("not written")
+		}
+	}
+}
+
+// TestOrder_ReplacedByAnotherTarget replaces the order of a running rollout, whose servers
+// are the most by then, by one of a third version. It guards against a version that was not
+// completed and that gets all requests, since most servers have it.
+func TestOrder_ReplacedByAnotherTarget(t *testing.T) {
+	n := newNode(t, "self")
+	startRollout(t, n)
+	n.controller.SetPeers(peers("v1", "v2", "v2", "v2", "v3"))
+	n.controller.ApplyUpdate(orderOf("v3", 150))
+	next := n.mustBaseOn(t, 150)
+	must.Eq(t, "v1", next.Previous())
+	n.results <- nil
+	n.awaitShare(t, 0.04)
+}
+
+// TestOrder_ReplacedByThePreviousVersion replaces the order of a running rollout by one of
+// the version that the service has, to end it. It guards against a version that was not
+// completed and that gets most requests because it is the other one.
+func TestOrder_ReplacedByThePreviousVersion(t *testing.T) {
+	n := newNode(t, "self")
+	startRollout(t, n)
+	n.controller.ApplyUpdate(orderOf("v1", 150))
+	next := n.mustBaseOn(t, 150)
+	must.Eq(t, "", next.Previous(), must.Sprint("no other version may be used"))
+	for len(n.admissions) > 0 {
+		<-n.admissions
+	}
+	n.results <- nil
+	for end := time.After(500 * time.Millisecond); ; {
+		select {
+		case p := <-n.policies:
+			must.Eq(t, "v1", p["shop"].Base())
+		case a := <-n.admissions:
+			must.False(t, a.AdmitsServer("v2"))
+		case <-end:
+			return
+		}
+	}
+}
--- a/lib/rollout/control/learn.go
+++ b/lib/rollout/control/learn.go
@@ -80,6 +80,7 @@
 		return false
 	}
 	c.records[service] = record
+	c.findOwn(service)
 	if e, ok := c.rollouts[service]; ok && e.rollout.MergeRecord(c.clock.Now(), record) {
 		e.due = rollout.Record{}
 		c.logStep(service, e, source)
@@ -222,16 +223,36 @@
 		release := c.releases.Learn(p.instance, p.release)
 		c.servers[p.service] = append(c.servers[p.service], rollout.NewServer(p.node, release, p.accepting))
 	}
-	for service, servers := range c.servers {
-		if own := rollout.OwnRelease(servers, c.own[service], c.unproven(service)...); own != "" {
-			c.own[service] = own
-		}
+	for service := range c.servers {
+		c.findOwn(service)
 	}
 	if c.tally.Instance() != c.local.instance || c.tally.Release() != c.local.release {
 		c.tally = rollout.NewTally(c.local.node, c.releases.Learn(c.local.instance, c.local.release), c.local.instance)
 	}
 }
 
+// findOwn finds the version that a service has as long as no record of its order tells.
+func (c *Controller) findOwn(service string) {
+	own := c.recordedRelease(service)
+	if own == "" {
+		own = rollout.OwnRelease(c.servers[service], c.own[service], c.unproven(service)...)
+	}
+	if own != "" {
+		c.own[service] = own
+	}
+}
+
+// recordedRelease returns the version that a service has according to the record of its
+// last rollout, "" if no server has it. Most servers may have that of an order which was
+// removed or replaced.
+func (c *Controller) recordedRelease(service string) string {
+	serving := c.records[service].Serving()
+	if slices.ContainsFunc(c.servers[service], func(s rollout.Server) bool { return s.Release() == serving }) {
+		return serving
+	}
+	return ""
+}
+
 // unproven returns the target version of an order that is not complete, unless the service
 // had that version already.
 func (c *Controller) unproven(service string) []string {
@@ -254,9 +275,13 @@
 	e.tallied = true
 }
 
-// ownOfOthers returns the version that most servers of the service state. The server on
-// this host counts only once its version was found to be that of the service.
+// ownOfOthers returns the version of the last record, or that which most servers of the
+// service state. The server on this host counts only once its version was found to be that
+// of the service.
 func (c *Controller) ownOfOthers(service string) string {
+	if own := c.recordedRelease(service); own != "" {
+		return own
+	}
 	servers, known := c.servers[service], c.established
 	if known == "" || known != c.local.release {
 		known = ""
--- a/lib/rollout/order.go
+++ b/lib/rollout/order.go
@@ -135,6 +135,16 @@
 // Elapsed returns the time between the order and the step.
 func (r Record) Elapsed() time.Duration { return r.elapsed }
 
+// Serving returns the version that the service has according to the record: the previous
+// one until the rollout is complete, or the target version if there was no other. It is ""
+// for no record.
+func (r Record) Serving() string {
+	if r.phase == Complete || r.phase == Running && r.previous == "" {
+		return r.target
+	}
+	return r.previous
+}
+
 // progress orders the records of one order: a later one has more.
 func (r Record) progress() int {
 	switch r.phase {
--- a/lib/rollout/plan.go
+++ b/lib/rollout/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -116,10 +117,11 @@
 		next.phase = RolledBack
 		next.step = r.step()
 	case !started:
-		next.previous = ownRelease(servers, r.order.target)
-		if next.previous == "" && r.Elapsed(now) < r.at(leftAlone) {
+		previous, certain := r.formerRelease(servers)
+		if !certain && r.Elapsed(now) < r.at(leftAlone) {
 			return Action{}
 		}
+		next.previous = previous
 	case r.step() >= shifted:
 		if !r.mayComplete(now) {
 			return Action{}
@@ -133,6 +135,22 @@
 	return Action{kind: Write, record: next}
 }
 
+// formerRelease returns the version that the service has before the first record of the
+// order, "" if there is none but the target version, and whether that is certain. The
+// record of an earlier order states it: most servers may have a version that this order
+// was given to abandon.
+func (r *Rollout) formerRelease(servers []Server) (release string, certain bool) {
+	serving := r.record.Serving()
+	if serving != "" && serving == r.order.target {
+		return "", true
+	}
+	if slices.ContainsFunc(servers, func(s Server) bool { return s.release != "" && s.release == serving }) {
+		return serving, true
+	}
+	release = ownRelease(servers, r.order.target)
+	return release, release != "" && serving == ""
+}
+
 // mayComplete reports whether the target version may become that of the service.
 func (r *Rollout) mayComplete(now time.Time) bool {
 	elapsed := r.Elapsed(now)
