fix(serverproxy): end a lost request once the verdict on its server is known

A retry of a request whose connection to the server was lost waited 20 ms for the report that the server had ended. Beside load the report takes longer, so the retries of two entry nodes reached two further servers: four or more ended under one request where three may.

The node beside the server now states at once that the connection was lost (event Lost, on the wire an Unknown with field 10, so that nodes of earlier releases take it for the final event) and connects to the server. It ends the request (Unknown with a verdict, field 11) when the server accepts the connection, or when all linked nodes have handled the report of its end, which a ping sent in one piece with the report shows; they get 250 ms at most. The entry node sends neither a retry nor a hedge before, and retries at once afterwards instead of after 20 ms. Two entry nodes can no longer both miss the other's lost server. Without a verdict (link lost, earlier release) the 20 ms remain.

TestEnd_SingleLostConnectionIsNone expects the new event before the final one; its other checks are as before.

--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -274,11 +274,11 @@
 		}
 		p.fire(eventNotRun)
 		return p.endWithoutSlot(), false
-	case upstream.Offered, upstream.Queued, upstream.Slowed, upstream.Silent, upstream.Unknown:
+	case upstream.Offered, upstream.Queued, upstream.Slowed, upstream.Silent, upstream.Lost, upstream.Unknown:
 	}
 	p.tried = append(p.tried, p.node)
 	p.uncertainReason = p.reason
-	if idempotent && p.awaitVerdict(ctx) && p.mayRetry(ctx) {
+	if idempotent && (end.HasVerdict() || p.awaitVerdict(ctx)) && p.mayRetry(ctx) {
 		p.fire(eventRetry)
 		return nil, true
 	}
--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -33,7 +33,8 @@
 // An idempotent request is hedged, that is, sent to a second server as well,
 // when its server slows down, the node next to it falls silent, or it takes much
 // longer than the mean; the first success counts and the other attempt is
-// cancelled. Any other request waits for its response until its time is over: a
+// cancelled. A request whose connection was lost is not hedged while the verdict on its
+// server is awaited, unless the node falls silent. Any other request waits for its response until its time is over: a
 // silent node may only be paused.
 func (p *pendingCall) execute(ctx context.Context, o offer) upstream.Event {
 	p.node, p.cost = o.event.Endpoint().Node(), o.event.Cost()
@@ -42,21 +43,24 @@
 	p.sendHedging(hedgingMessage{sent: p.plan.service})
 	timer := p.router.clock.NewTimer(p.hedgeDelay())
 	defer timer.Stop()
+	lost := false
 	for {
 		select {
 		case e := <-o.events:
 			switch {
 			case e.Number() != o.event.Number():
+			case e.Kind() == upstream.Lost:
+				lost = true
 			case e.Kind().Final():
 				p.reportLatency(e, started)
 				return e
-			case e.Kind() == upstream.Slowed && p.missesObjective(started, e.Cost()) && p.takeHedge(ctx):
+			case e.Kind() == upstream.Slowed && !lost && p.missesObjective(started, e.Cost()) && p.takeHedge(ctx):
 				return p.hedge(ctx, o, started, hedgeSlowed)
 			case e.Kind() == upstream.Silent && p.mayHedge():
 				return p.hedge(ctx, o, started, hedgeSilent)
 			}
 		case <-timer.Chan():
-			if p.mayHedge() && p.takeHedge(ctx) {
+			if !lost && p.mayHedge() && p.takeHedge(ctx) {
 				return p.hedge(ctx, o, started, hedgeLate)
 			}
 		case <-ctx.Done():
@@ -120,13 +124,14 @@
 	reserveCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	found := p.startHedge(reserveCtx, cause)
+	lost := false // whether the first attempt awaits the verdict on its server
 	var second *offer
 	var secondEvents chan upstream.Event
 	for {
 		select {
 		case o, ok := <-found:
 			found = nil
-			if !ok || !p.spendRetry(ctx) {
+			if !ok || lost || !p.spendRetry(ctx) {
 				p.returnHedge(ok)
 				if ok {
 					o.event.Endpoint().Withdraw(o.event.Number())
@@ -141,6 +146,12 @@
 			if e.Number() != first.event.Number() {
 				continue
 			}
+			switch e.Kind() {
+			case upstream.Lost:
+				lost = true
+			case upstream.Silent:
+				lost = false
+			}
 			if e.Kind() == upstream.Silent && second == nil && found == nil && p.mayHedge() {
 				found = p.startHedge(reserveCtx, hedgeSilent)
 			}
--- a/lib/dispatch/quarantine.go
+++ b/lib/dispatch/quarantine.go
@@ -8,9 +8,9 @@
 	"savorygap.example/lib/upstream"
 )
 
-// verdictDelay is how long a request whose server was lost waits before it is sent to
-// another one. The node beside the server finds out meanwhile whether the server has
-// ended, and tells all nodes.
+// verdictDelay is how long a request waits before it is sent to another server if the node
+// beside the first one has not stated whether that has ended: the link was lost, or the node
+// is of an earlier release. The node finds out meanwhile, and tells all nodes.
 const verdictDelay = 20 * time.Millisecond
 
 // holds are the requests that are held, and until when. A map is not changed once it is
--- a/lib/dispatch/reserve.go
+++ b/lib/dispatch/reserve.go
@@ -242,7 +242,7 @@
 			s.queued[e.Number()] = true
 		}
 		s.reportCost(c, e.Cost())
-	case upstream.Slowed, upstream.Silent:
+	case upstream.Slowed, upstream.Silent, upstream.Lost:
 	case upstream.Refused, upstream.NotRun, upstream.Unknown, upstream.Answered:
 		delete(s.pending, e.Number())
 		delete(s.replied, e.Number())
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -66,6 +66,11 @@
 	// peersDelay is how long after a change the peers are passed on.
 	peersDelay = 20 * time.Millisecond
 
+	// tellTimeout is how long peers may take to handle what they are told before they are
+	// not waited for any more. A request that is sent again waits for them: the link to a
+	// peer that is paused is known to be silent only after a second.
+	tellTimeout = 250 * time.Millisecond
+
 	// unreachableTimeout is how long a member must be unreachable before its entry is
 	// removed.
 	unreachableTimeout = 30 * time.Second
@@ -224,6 +229,16 @@
 	}
 }
 
+// TellSuspicions tells the peers what this node has seen of requests under which servers
+// ended. It calls told, from another goroutine, when they have handled it, or after
+// tellTimeout. It never blocks.
+func (f *Fleet) TellSuspicions(records []quarantine.Record, told func()) {
+	if !f.inbox.TrySend(message{tell: &tellMessage{records: records, told: told}}) {
+		f.log.Write("suspicions-not-sent", "records", len(records))
+		go told()
+	}
+}
+
 // SetServerState sends the state of the server on this host to the peers. It never
 // blocks and must not be called concurrently.
 func (f *Fleet) SetServerState(s link.ServerState) { f.serverStates.Put(s) }
@@ -319,6 +334,8 @@
 		for _, p := range f.links {
 			p.link.SendSuspicions(m.suspicions)
 		}
+	case m.tell != nil:
+		f.tellPeers(ctx, m.tell)
 	case m.rollout != nil:
 		f.broadcastRollout(*m.rollout)
 	case m.snapshot != nil:
--- a/lib/fleet/messages.go
+++ b/lib/fleet/messages.go
@@ -26,6 +26,7 @@
 	departures   []registry.Record
 	departure    *departureMessage
 	suspicions   []quarantine.Record
+	tell         *tellMessage
 	rollout      *rollout.Message
 	snapshot     *snapshotMessage
 	silence      *silenceMessage
@@ -35,6 +36,11 @@
 	dump         task.Reply[Dump]
 }
 
+type tellMessage struct {
+	records []quarantine.Record
+	told    func()
+}
+
 type acceptedConn struct {
 	conn  net.Conn
 	hello link.Hello
--- a/lib/link/codec.go
+++ b/lib/link/codec.go
@@ -213,8 +213,14 @@
 }
 
 func encodeEvent(v upstream.Event) []byte {
-	e := newEncoder(typeEvent, 96).varint(1, v.Number()).varint(2, uint64(v.Kind())).float(3, v.Cost()).
-		text(4, v.Reason()).duration(5, v.RetryAfter()).float(9, v.Pressure()).flag(14, v.IsBusy())
+	kind := v.Kind()
+	if kind == upstream.Lost {
+		// A node of an earlier release takes it for the final event.
+		kind = upstream.Unknown
+	}
+	e := newEncoder(typeEvent, 96).varint(1, v.Number()).varint(2, uint64(kind)).float(3, v.Cost()).
+		text(4, v.Reason()).duration(5, v.RetryAfter()).float(9, v.Pressure()).flag(10, v.Kind() == upstream.Lost).
+		flag(11, v.HasVerdict()).flag(14, v.IsBusy())
 	if r := v.Response(); r != nil {
 		e.varint(6, uint64(r.Status())).header(7, r.Header()).varint(8, uint64(len(r.Body())))
 	}
--- a/lib/link/decode.go
+++ b/lib/link/decode.go
@@ -224,8 +224,14 @@
 	if kind > upstream.Slowed {
 		return Message{}, false, &FrameError{frameType: typeEvent, reason: fmt.Sprintf("event kind %d does not exist", kind)}
 	}
+	if kind == upstream.Unknown && f.numbers[10] != 0 {
+		kind = upstream.Lost
+	}
 	e := upstream.NewEvent(kind, f.numbers[1]).WithCost(math.Float64frombits(f.numbers[3])).
 		WithReason(f.text(4)).WithRetryAfter(f.duration(5)).WithPressure(math.Float64frombits(f.numbers[9])).WithBusy(f.numbers[14] != 0)
+	if f.numbers[11] != 0 {
+		e = e.WithVerdict()
+	}
 	if status := f.count(6); status != 0 {
 		e = e.WithResponse(upstream.NewResponse(status, f.header(), nil))
 	}
--- a/lib/link/exchange.go
+++ b/lib/link/exchange.go
@@ -185,6 +185,8 @@
 		l.handler.cancel(l.key(*m.cancel))
 	case m.ping:
 		l.enqueue(Encode(Message{pong: true}))
+	case m.pong:
+		l.handlePong()
 	case m.serverState != nil:
 		l.hooks.serverState(l, *m.serverState)
 	case m.versions != nil:
--- a/lib/link/link.go
+++ b/lib/link/link.go
@@ -102,6 +102,9 @@
 	pause           time.Duration // the last pause of this process
 	resumedAt       time.Time     // the end of that pause
 	lastPingAt      time.Time
+	pingsSent       uint64
+	pongsReceived   uint64
+	tells           []tell // the oldest first
 }
 
 // pendingRequest is a slot request of this node to the peer, and the request that
@@ -131,6 +134,7 @@
 	received *Message
 	failed   error
 	quota    *quota.Question
+	tell     *tellCommand
 }
 
 type reserveCommand struct {
@@ -283,6 +287,9 @@
 // unknown outcome.
 func (l *Link) endPending() {
 	l.handler.releaseLink(l.id)
+	for _, t := range l.tells {
+		t.handled <- struct{}{}
+	}
 	for number, r := range l.pending {
 		kind := upstream.Refused
 		if r.submitted {
@@ -304,6 +311,8 @@
 	case c.cancel != nil:
 		delete(l.pending, *c.cancel)
 		l.enqueue(Encode(Message{cancel: c.cancel}))
+	case c.tell != nil:
+		l.handleTell(c.tell)
 	case c.quota != nil:
 		l.handleQuota(c.quota)
 	case c.received != nil:
--- a/lib/link/silence.go
+++ b/lib/link/silence.go
@@ -65,6 +65,7 @@
 	}
 	if l.silence > after && now.Sub(l.lastPingAt) >= interval {
 		l.lastPingAt = now
+		l.pingsSent++
 		l.enqueue(Encode(Message{ping: true}))
 		l.awaitingReply = true
 	}
--- a/lib/serverproxy/losses_test.go
+++ b/lib/serverproxy/losses_test.go
@@ -45,8 +45,48 @@
 	r.submit(1, "id", time.Hour)
 	<-r.server.requests
 	r.server.answers <- closeConnection
+	must.Eq(t, upstream.Lost, (<-events).Kind())
 	must.Eq(t, upstream.Unknown, (<-events).Kind())
 	r.run(2 * time.Second)
 	must.Eq(t, 0, len(r.ended))
 	must.Eq(t, "open", r.proxy.Dump(t.Context()).State())
 }
+
+// TestEnd_LostRequestEndsOnceAllNodesKnow guards against a request that is sent to the next
+// server before its sender, and the senders of the same request at other nodes, know that
+// the first one has ended under it.
+func TestEnd_LostRequestEndsOnceAllNodesKnow(t *testing.T) {
+	r := newOpenRig(t)
+	events := r.mustOffer(1)
+	r.submit(1, "id", time.Hour)
+	<-r.server.requests
+	r.server.refuse.Store(true)
+	r.server.answers <- closeConnection
+	must.Eq(t, upstream.Lost, (<-events).Kind())
+	must.Eq(t, []quarantine.Fingerprint{orderFingerprint("id")}, <-r.ended)
+	r.run(200 * time.Millisecond)
+	must.Eq(t, 0, len(events))
+	(<-r.told)()
+	end := <-events
+	must.Eq(t, upstream.Unknown, end.Kind())
+	must.True(t, end.HasVerdict())
+}
+
+// TestEnd_LostRequestEndsAtOnceIfTheServerLives guards against retries that are late for
+// want of a verdict: the server closes connections and lives on, and answers no health
+// check. The clock stands still.
+func TestEnd_LostRequestEndsAtOnceIfTheServerLives(t *testing.T) {
+	r := newOpenRig(t)
+	<-r.server.health
+	for n := range uint64(3) {
+		events := r.mustOffer(n + 1)
+		r.submit(n+1, "id", time.Hour)
+		<-r.server.requests
+		r.server.answers <- closeConnection
+		must.Eq(t, upstream.Lost, (<-events).Kind())
+		end := <-events
+		must.Eq(t, upstream.Unknown, end.Kind())
+		must.True(t, end.HasVerdict())
+	}
+	must.Eq(t, 0, len(r.ended))
+}
--- a/lib/serverproxy/messages.go
+++ b/lib/serverproxy/messages.go
@@ -23,6 +23,8 @@
 	departure   *departureMessage
 	snapshot    *Snapshot
 	checkResult *healthResult
+	verdict     *verdict
+	settled     []lostRequest
 	stop        *upstream.Shutdown
 	admission   *rollout.Admission
 	drain       bool
@@ -124,7 +126,7 @@
 	case m.releaseLink != nil:
 		p.handleReleaseLink(*m.releaseLink)
 	case m.finished != nil:
-		p.handleFinished(m.finished)
+		p.handleFinished(ctx, m.finished)
 	case m.announce != nil:
 		m.announce.reply <- p.handleAnnounce(m.announce.announcement)
 	case m.leave != nil:
@@ -135,6 +137,10 @@
 		p.handleSnapshot(*m.snapshot)
 	case m.checkResult != nil:
 		p.handleHealthResult(m.checkResult)
+	case m.verdict != nil:
+		p.handleVerdict(ctx, m.verdict)
+	case m.settled != nil:
+		settle(m.settled)
 	case m.admission != nil:
 		p.setAdmission(*m.admission)
 	case m.stop != nil:
--- a/lib/serverproxy/proxy.go
+++ b/lib/serverproxy/proxy.go
@@ -134,15 +134,16 @@
 type Hooks struct {
 	stateChanged func(ServerState)
 	leaving      func(instance string, startedAt int64)
-	ended        func(instance string, requests []quarantine.Fingerprint)
+	ended        func(instance string, requests []quarantine.Fingerprint, told func())
 	hedge        func(*upstream.Request)
 }
 
 // NewHooks returns hooks. stateChanged is called whenever the published state changes,
 // and leaving when an instance states in a response that it leaves; startedAt is its
 // start time in Unix milliseconds. ended is called when an instance has ended, with the
-// requests that it was at work on.
-func NewHooks(stateChanged func(ServerState), leaving func(instance string, startedAt int64), ended func(instance string, requests []quarantine.Fingerprint)) Hooks {
+// requests that it was at work on. It must have told called, from another goroutine, when
+// all nodes know: the requests are not sent to another server before.
+func NewHooks(stateChanged func(ServerState), leaving func(instance string, startedAt int64), ended func(instance string, requests []quarantine.Fingerprint, told func())) Hooks {
 	return Hooks{stateChanged: stateChanged, leaving: leaving, ended: ended, hedge: func(*upstream.Request) {}}
 }
 
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -182,7 +182,7 @@
 	p.inbox.Send(message{finished: &finishedMessage{key: key, result: result, conn: conn, dialled: dialled}})
 }
 
-func (p *Proxy) handleFinished(m *finishedMessage) {
+func (p *Proxy) handleFinished(ctx context.Context, m *finishedMessage) {
 	r, ok := p.forwarded[m.key]
 	if !ok {
 		return
@@ -204,7 +204,8 @@
 	p.judgeFinished(now, r, m.result)
 	p.recordResult(now, m.result, now.Sub(r.started), cancelled)
 	if isLost(m.result) && r.generation == p.generation {
-		p.recordLoss(now, r.request)
+		p.awaitVerdict(m)
+		p.recordLoss(ctx, now, r.request)
 	}
 	p.endFinished(m)
 	p.logRequest(now, r, m.result, cancelled)
--- a/lib/serverproxy/serverproxy_test.go
+++ b/lib/serverproxy/serverproxy_test.go
@@ -53,6 +53,7 @@
 	states  chan serverproxy.ServerState
 	leaving chan string
 	ended   chan []quarantine.Fingerprint
+	told    chan func()
 	log     *bytes.Buffer
 }
 
@@ -75,7 +76,7 @@
 	charts, err := chart.Embedded()
 	must.NoError(t, err)
 	r := &rig{
-		t: t, clock: clockwork.NewFakeClock(), states: make(chan serverproxy.ServerState, 256), leaving: make(chan string, 16), ended: make(chan []quarantine.Fingerprint, 16), log: &bytes.Buffer{},
+		t: t, clock: clockwork.NewFakeClock(), states: make(chan serverproxy.ServerState, 256), leaving: make(chan string, 16), ended: make(chan []quarantine.Fingerprint, 16), told: make(chan func(), 16), log: &bytes.Buffer{},
 		server: &fakeServer{health: make(chan string, 1), requests: make(chan *http.Request, 16), answers: make(chan string, 16)},
 	}
 	r.server.health <- healthOf("i-1", http.StatusOK, "")
@@ -93,7 +94,10 @@
 	r.proxy, err = serverproxy.New(configure(config), charts, r.clock, log, observer, serverproxy.NewHooks(
 		func(s serverproxy.ServerState) { r.states <- s },
 		func(instance string, startedAt int64) { r.leaving <- fmt.Sprint(instance, " ", startedAt) },
-		func(_ string, requests []quarantine.Fingerprint) { r.ended <- requests }))
+		func(_ string, requests []quarantine.Fingerprint, told func()) {
+			r.ended <- requests
+			r.told <- told
+		}))
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
--- a/lib/upstream/upstream.go
+++ b/lib/upstream/upstream.go
@@ -23,8 +23,8 @@
 )
 
 // MaxEvents is the largest number of events that one slot request produces:
-// queued, offered, slowed, silent, and the final one.
-const MaxEvents = 5
+// queued, offered, slowed, lost, silent, and the final one.
+const MaxEvents = 6
 
 // Request is an HTTP request to a server. Its whole body is held in memory.
 type Request struct {
@@ -144,14 +144,18 @@
 	// Silent means that nothing is heard any more from the node next to the server.
 	// The request goes on there, and its response may still arrive.
 	Silent
+	// Lost means that the connection to the server was lost before the response arrived.
+	// Unknown follows when the node next to the server has found out whether the server
+	// has ended.
+	Lost
 )
 
 // Final reports whether the event is the last one of its slot request.
 func (k EventKind) Final() bool {
-	return k != Offered && k != Queued && k != Slowed && k != Silent
+	return k != Offered && k != Queued && k != Slowed && k != Silent && k != Lost
 }
 
-var kindNames = []string{"offered", "waiting", "refused", "answered", "not-run", "unknown", "slowed", "silent"}
+var kindNames = []string{"offered", "waiting", "refused", "answered", "not-run", "unknown", "slowed", "silent", "lost"}
 
 // String returns the name of the kind as it appears in logs.
 func (k EventKind) String() string {
@@ -169,6 +173,7 @@
 	cost       float64
 	pressure   float64
 	busy       bool
+	verdict    bool
 	reason     string
 	retryAfter time.Duration
 	response   *Response
@@ -191,6 +196,17 @@
 	return e
 }
 
+// WithVerdict returns the event, of kind Unknown, with the statement that the node next to
+// the server knows whether the server has ended, and has told all nodes if it has.
+func (e Event) WithVerdict() Event {
+	e.verdict = true
+	return e
+}
+
+// HasVerdict reports whether the node next to the server knows whether the server has
+// ended, and has told all nodes if it has.
+func (e Event) HasVerdict() bool { return e.verdict }
+
 // WithReason returns the event with the reason why the slot request ended.
 func (e Event) WithReason(reason string) Event {
 	e.reason = reason
--- a/savorygap-node/internal/servers/servers.go
+++ b/savorygap-node/internal/servers/servers.go
@@ -56,10 +56,10 @@
 	onLeaving := func(instance string, startedAt int64) {
 		leaving.Put(departure{instance: instance, startedAt: startedAt})
 	}
-	onEnded := func(_ string, requests []quarantine.Fingerprint) {
+	onEnded := func(_ string, requests []quarantine.Fingerprint, told func()) {
 		records := quarantine.Struck(requests)
-		p.Fleet().SendSuspicions(records)
 		p.Router().ApplySuspicions(records)
+		p.Fleet().TellSuspicions(records, told)
 	}
 	proxy, err := serverproxy.New(config, p.Charts(), p.Clock(), p.Log(), observer, serverproxy.NewHooks(onStateChange, onLeaving, onEnded).WithHedges(p.Router().RecordHedge))
 	if err != nil {
