fix(dispatch): look for a slot again while the node of a request is silent

The hedge of a request whose node falls silent looked for a slot once. If the link to the only other server was silent too, but not yet known to be, the search ended without a slot and the read got 504 at its deadline, although that link was opened anew 130 ms later (TestSilentNode_LosesNoRunningWork, "cut off for 4 s").

The hedge now looks again 100 ms after a search that found no slot, and after a second attempt that failed, until the first attempt ends, the call's time is over, or the budget denies the retry. An offer that was lost before anything reached the server no longer counts as an attempt.

--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -27,6 +27,10 @@
 	// outlierFactor caps a latency, as a multiple of the mean, before it is
 	// averaged.
 	outlierFactor = 3.0
+	// hedgeSearchPause is the time between two searches for a slot for a request whose node
+	// is silent. A link that is silent too is opened anew within about two seconds, and a
+	// search takes up to 40 ms if its servers do not reply.
+	hedgeSearchPause = 100 * time.Millisecond
 )
 
 // execute sends the request to the offered slot and waits for its final event.
@@ -118,13 +122,22 @@
 
 // hedge reserves a slot at a second server while the first attempt goes on,
 // and sends the request there if a slot is free and the budget grants a retry.
-// If the first node falls silent later, it looks for a slot again. It returns the
-// final event that settles the attempt.
+// If the first node is silent, or falls silent later, it looks for a slot again and again:
+// the links to the other servers may be silent too, and be replaced soon. The end of a
+// silence is not reported, so it ends with the response, the call's time, or the budget.
+// It returns the final event that settles the attempt.
 func (p *pendingCall) hedge(ctx context.Context, first offer, started time.Time, cause hedgeCause) upstream.Event {
 	reserveCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	found := p.startHedge(reserveCtx, cause)
 	lost := false // whether the first attempt awaits the verdict on its server
+	silent := cause == hedgeSilent
+	var again <-chan time.Time
+	lookAgain := func() {
+		if silent {
+			again = p.router.clock.After(hedgeSearchPause)
+		}
+	}
 	var second *offer
 	var secondEvents chan upstream.Event
 	for {
@@ -135,6 +148,8 @@
 				p.returnHedge(ok)
 				if ok {
 					o.event.Endpoint().Withdraw(o.event.Number())
+				} else {
+					lookAgain()
 				}
 				continue
 			}
@@ -142,6 +157,11 @@
 			p.countRetry()
 			second, secondEvents = &o, o.events
 			p.submitHedge(o)
+		case <-again:
+			again = nil
+			if !lost && second == nil && found == nil && p.mayHedge() {
+				found = p.startHedge(reserveCtx, hedgeSilent)
+			}
 		case e := <-first.events:
 			if e.Number() != first.event.Number() {
 				continue
@@ -150,7 +170,7 @@
 			case upstream.Lost:
 				lost = true
 			case upstream.Silent:
-				lost = false
+				lost, silent = false, true
 			}
 			if e.Kind() == upstream.Silent && second == nil && found == nil && p.mayHedge() {
 				found = p.startHedge(reserveCtx, hedgeSilent)
@@ -174,7 +194,14 @@
 				p.node = second.event.Endpoint().Node()
 				return e
 			}
+			if e.Kind() == upstream.Refused {
+				// The offer was lost before anything reached the server.
+				p.attempts--
+			} else {
+				p.tried = append(p.tried, second.event.Endpoint().Node())
+			}
 			second, secondEvents = nil, nil
+			lookAgain()
 		case <-ctx.Done():
 			p.stopHedge(second, stop, found)
 			return p.cancel(first)
