fix(quarantine): tell a deadly request from its neighbours by the third end

A request that no server had finished within the last 2 s, and that stood beside a deadly one when two servers ended, was held with it for 5 minutes.

Of several requests under which the same number of servers has ended, none is held before the third end. One that leads by its ends is held at the second, as before. An end under a request that is held is no evidence against the others, and the ends that a newly held request explains are taken back from its neighbours.

--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -101,9 +101,11 @@
 	// if it is not known.
 	callerRoute    string
 	callerPriority int
-	hedgeTaken     bool
-	hedgeWon       bool
-	hedgeDenied    string
+	// onTrial is whether the call is sent to the server for its trial only.
+	onTrial     bool
+	hedgeTaken  bool
+	hedgeWon    bool
+	hedgeDenied string
 	// failedResponse is the error response of an earlier attempt, and
 	// uncertainReason the reason why the outcome of an earlier attempt is
 	// unknown. The call ends with them if no further slot is found.
@@ -176,7 +178,7 @@
 	}
 	candidates := p.plan.candidates
 	for reservations := 0; ; reservations++ {
-		offer, ok := p.findVersionSlot(ctx, candidates)
+		offer, ok := p.findPermittedSlot(ctx, candidates)
 		if !ok {
 			return p.endWithoutSlot()
 		}
@@ -184,6 +186,11 @@
 			offer.event.Endpoint().Withdraw(offer.event.Number())
 			return p.endWithoutSlot()
 		}
+		if p.isAmbiguous() && !p.onTrial {
+			// Its last server ended during the search.
+			offer.event.Endpoint().Withdraw(offer.event.Number())
+			continue
+		}
 		if response, ok := p.awaitCredit(ctx); !ok {
 			offer.event.Endpoint().Withdraw(offer.event.Number())
 			return response
--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -144,7 +144,7 @@
 		select {
 		case o, ok := <-found:
 			found = nil
-			if !ok || lost || !p.spendRetry(ctx) {
+			if !ok || lost || p.isAmbiguous() || !p.spendRetry(ctx) {
 				p.returnHedge(ok)
 				if ok {
 					o.event.Endpoint().Withdraw(o.event.Number())
--- a/lib/dispatch/messages.go
+++ b/lib/dispatch/messages.go
@@ -67,6 +67,7 @@
 	latency time.Duration
 	exclude []string
 	release string
+	trial   quarantine.Fingerprint // 0, or the ambiguous request that the only candidate is for
 	reply   task.Reply[[]candidate]
 }
 
--- a/lib/dispatch/quarantine.go
+++ b/lib/dispatch/quarantine.go
@@ -72,6 +72,8 @@
 func (r *Router) publishHolds(now time.Time) {
 	held := holds(r.ledger.Held(now))
 	r.held.Store(&held)
+	ambiguous := holds(r.ledger.Ambiguous(now))
+	r.ambiguous.Store(&ambiguous)
 }
 
 // isHeld reports whether the call is held, and if so, records why and until when.
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -123,6 +123,7 @@
 	ledger            *quarantine.Ledger
 	distances         *distances
 	held              atomic.Pointer[holds]
+	ambiguous         atomic.Pointer[holds] // since when, rather than until when
 	versions          versions
 	hedging           *hedge.Controller // nil unless the settings limit hedges
 	nodeCount         int
@@ -162,6 +163,7 @@
 		ledger: ledger, distances: newDistances(config.farRoundTrip), hedging: newHedging(config),
 	}
 	r.held.Store(&holds{})
+	r.ambiguous.Store(&holds{})
 	return r, nil
 }
 
@@ -216,6 +218,10 @@
 		p, err := r.planCall(m.plan.call)
 		m.plan.reply <- planResult{plan: p, err: err}
 	case m.candidates != nil:
+		if m.candidates.trial != 0 {
+			m.candidates.reply <- r.trialCandidate(m.candidates)
+			return
+		}
 		m.candidates.reply <- r.candidates(m.candidates.service, m.candidates.latency, m.candidates.exclude, m.candidates.release)
 	case m.retry != nil:
 		m.retry.reply <- r.spendRetry(m.retry.service)
--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"savorygap.example/lib/chart"
@@ -16,8 +17,11 @@
 	// endsUntilHeld is the number of servers that may end under a request. Up to as many
 	// again may be at work on it by the time that all nodes know.
 	endsUntilHeld = 2
-	// suspicionTTL is how long the end of a server counts without another one.
-	suspicionTTL = time.Minute
+	// endsUntilAllHeld is the number of servers that may end under several requests which
+	// nothing tells apart. All of them are held then.
+	endsUntilAllHeld = 3
+	// SuspicionTTL is how long the end of a server counts without another one.
+	SuspicionTTL = time.Minute
 	// holdDuration is how long a request is held. After that, the next end holds it again.
 	holdDuration = 5 * time.Minute
 	// recentSuccess is how long after a server finished a request an end is no evidence
@@ -36,6 +40,7 @@
 	ends      int
 	lastEndAt time.Time
 	heldUntil time.Time
+	reports   []uint64 // those that count in ends, the oldest first
 }
 
 // success is when a server last finished a request, in Unix nanoseconds, and whether this
@@ -51,6 +56,7 @@
 	chart     *chart.Chart
 	suspects  map[Fingerprint]*suspect
 	successes [successSlots]success
+	reports   uint64 // of ends, so far
 }
 
 // NewLedger returns an empty ledger that follows the chart "quarantine" of charts.
@@ -62,10 +68,12 @@
 	return &Ledger{chart: c, suspects: map[Fingerprint]*suspect{}}, nil
 }
 
-// Apply applies what this node or another one has seen. It returns the requests that are
+// Apply applies what this node or another one has seen. The records that a server has ended
+// are those of one report. It returns the requests that are
 // held from now on, and those that this node has just seen finished, so that the other
 // nodes must be told that they are cleared.
 func (l *Ledger) Apply(now time.Time, records []Record) (held, refuted []Fingerprint) {
+	var ended []Fingerprint
 	for _, r := range records {
 		switch r.kind {
 		case Ended:
@@ -75,9 +83,7 @@
 				}
 				continue
 			}
-			if l.recordEnd(now, r.fingerprint) {
-				held = append(held, r.fingerprint)
-			}
+			ended = append(ended, r.fingerprint)
 		case Held:
 			if l.hold(now, r.fingerprint, now.Add(min(r.left, holdDuration))) {
 				held = append(held, r.fingerprint)
@@ -87,7 +93,7 @@
 			l.recordSuccess(now, r.fingerprint, false)
 		}
 	}
-	return held, refuted
+	return append(held, l.recordEnds(now, ended)...), refuted
 }
 
 // recentSuccess returns the last time a server finished a request, if that was recently.
@@ -96,23 +102,75 @@
 	return s, s.fingerprint == f && now.UnixNano()-s.at < int64(recentSuccess)
 }
 
-// recordEnd counts the end of a server against a request, and reports whether it is held
-// from now on.
-func (l *Ledger) recordEnd(now time.Time, f Fingerprint) bool {
+// recordEnds counts the end of a server against the requests that it was at work on, and
+// returns those that are held from now on. An end under a request that is held already
+// is no evidence against the others. Of several requests under which the same number of
+// servers has ended, none is held before endsUntilAllHeld.
+func (l *Ledger) recordEnds(now time.Time, ended []Fingerprint) (held []Fingerprint) {
+	if known := l.heldOf(now, ended); len(known) > 0 {
+		ended = known
+	}
+	l.reports++
+	var strongest []Fingerprint
+	most := endsUntilHeld
+	for _, f := range ended {
+		switch n := l.recordEnd(now, f); {
+		case n > most:
+			strongest, most = []Fingerprint{f}, n
+		case n == most:
+			strongest = append(strongest, f)
+		}
+	}
+	if len(strongest) > 1 && most < endsUntilAllHeld {
+		return nil
+	}
+	for _, f := range strongest {
+		if l.hold(now, f, now.Add(holdDuration)) {
+			held = append(held, f)
+		}
+	}
+	return held
+}
+
+// heldOf returns those of the requests that are held.
+func (l *Ledger) heldOf(now time.Time, requests []Fingerprint) (held []Fingerprint) {
+	for _, f := range requests {
+		if s, ok := l.suspects[f]; ok && s.isHeld(now) {
+			held = append(held, f)
+		}
+	}
+	return held
+}
+
+// recordEnd counts the end of a server against a request, and returns how many there are.
+func (l *Ledger) recordEnd(now time.Time, f Fingerprint) int {
 	s := l.suspect(f)
 	if s == nil {
-		return false
+		return 0
 	}
-	if s.ends > 0 && now.Sub(s.lastEndAt) > suspicionTTL && s.heldUntil.IsZero() {
-		s.ends = 0
+	if s.ends > 0 && now.Sub(s.lastEndAt) > SuspicionTTL && s.heldUntil.IsZero() {
+		s.ends, s.reports = 0, nil
 	}
 	s.ends++
+	s.reports = append(s.reports[max(0, len(s.reports)-endsUntilAllHeld):], l.reports)
 	s.lastEndAt = now
 	s.fire(eventStruck)
-	if s.ends < endsUntilHeld {
-		return false
+	return s.ends
+}
+
+// exonerateOthers takes back the ends that a request which is held explains from the others
+// that stood beside it.
+func (l *Ledger) exonerateOthers(guilty *suspect) {
+	for f, s := range l.suspects {
+		if s == guilty || s.machine.HasTag(tagHeld) {
+			continue
+		}
+		before := len(s.reports)
+		s.reports = slices.DeleteFunc(s.reports, func(n uint64) bool { return slices.Contains(guilty.reports, n) })
+		if s.ends -= before - len(s.reports); s.ends <= 0 {
+			l.clear(f)
+		}
 	}
-	return l.hold(now, f, now.Add(holdDuration))
 }
 
 // hold holds a request until the given time, and reports whether it was not held before.
@@ -125,6 +183,9 @@
 	s.ends = max(s.ends, endsUntilHeld)
 	s.heldUntil = until
 	s.fire(eventConvict)
+	if !before {
+		l.exonerateOthers(s)
+	}
 	return !before
 }
 
@@ -189,6 +250,18 @@
 	return held
 }
 
+// Ambiguous returns the requests that would be held if others had not stood beside the same
+// ends, and when the last server has ended under each.
+func (l *Ledger) Ambiguous(now time.Time) map[Fingerprint]time.Time {
+	ambiguous := map[Fingerprint]time.Time{}
+	for f, s := range l.suspects {
+		if s.ends >= endsUntilHeld && !s.isHeld(now) && now.Sub(s.lastEndAt) <= SuspicionTTL {
+			ambiguous[f] = s.lastEndAt
+		}
+	}
+	return ambiguous
+}
+
 // Suspects returns how many requests are remembered.
 func (l *Ledger) Suspects() int { return len(l.suspects) }
 
@@ -196,7 +269,7 @@
 func (s *suspect) isHeld(now time.Time) bool {
 	if s.machine.HasTag(tagHeld) && !now.Before(s.heldUntil) {
 		s.fire(eventLapse)
-		s.heldUntil, s.ends, s.lastEndAt = time.Time{}, endsUntilHeld-1, now
+		s.heldUntil, s.ends, s.lastEndAt, s.reports = time.Time{}, endsUntilHeld-1, now, nil
 	}
 	return s.machine.HasTag(tagHeld)
 }
--- a/lib/quarantine/quarantine_test.go
+++ b/lib/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"time"
@@ -122,6 +123,70 @@
 	must.True(t, isHeld(l, now, deadly))
 }
 
+// TestApply_AmbiguousRequestsAreHeldAtTheThirdEnd guards against a deadly request that is
+// never held, since the same neighbour stands beside it at each end.
+func TestApply_AmbiguousRequestsAreHeldAtTheThirdEnd(t *testing.T) {
+	l, now := newLedger(t), time.Unix(1000, 0)
+	pair := quarantine.Struck([]quarantine.Fingerprint{7, 8})
+	l.Apply(now, pair)
+	must.MapEmpty(t, l.Ambiguous(now))
+	l.Apply(now.Add(time.Second), pair)
+	must.MapEmpty(t, l.Held(now))
+	must.MapEq(t, map[quarantine.Fingerprint]time.Time{7: now.Add(time.Second), 8: now.Add(time.Second)}, l.Ambiguous(now.Add(time.Minute)))
+	must.MapEmpty(t, l.Ambiguous(now.Add(2*time.Minute)))
+	held, _ := l.Apply(now.Add(2*time.Second), pair)
+	must.SliceContainsAll(t, []quarantine.Fingerprint{7, 8}, held)
+	must.MapEmpty(t, l.Ambiguous(now))
+}
+
+// TestApply_HeldRequestExplainsTheEndsOfItsNeighbours guards against a request that is held
+// for ends which the deadly one has caused, before that is held or while its last attempts
+// end.
+func TestApply_HeldRequestExplainsTheEndsOfItsNeighbours(t *testing.T) {
+	const deadly, neighbour = 7, 8
+	l, now := newLedger(t), time.Unix(1000, 0)
+	both := quarantine.Struck([]quarantine.Fingerprint{deadly, neighbour})
+	l.Apply(now, both)
+	l.Apply(now, both)
+	l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{deadly}))
+	must.Eq(t, 1, l.Suspects())
+	for range 3 {
+		held, _ := l.Apply(now, both)
+		must.SliceEmpty(t, held)
+	}
+	must.False(t, isHeld(l, now, neighbour))
+	// An end under the neighbour alone is the first that counts.
+	l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{neighbour}))
+	must.False(t, isHeld(l, now, neighbour))
+	l.Apply(now, quarantine.Struck([]quarantine.Fingerprint{neighbour}))
+	must.True(t, isHeld(l, now, neighbour))
+}
+
+// TestApply_DeadlyRequestIsHeldByTheThirdEnd has random neighbours stand beside a deadly
+// request. Any order in which the nodes learn of the ends must bound them alike.
+func TestApply_DeadlyRequestIsHeldByTheThirdEnd(t *testing.T) {
+	const deadly = 7
+	charts, err := chart.Embedded()
+	must.NoError(t, err)
+	for seed := range uint64(2000) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		l, err := quarantine.NewLedger(charts)
+		must.NoError(t, err)
+		now := time.Unix(1000, 0)
+		for range 3 {
+			struck := []quarantine.Fingerprint{deadly}
+			for f := range quarantine.Fingerprint(random.IntN(8)) {
+				if random.IntN(2) == 0 {
+					struck = append(struck, 100+f)
+				}
+			}
+			random.Shuffle(len(struck), func(i, j int) { struck[i], struck[j] = struck[j], struck[i] })
+			l.Apply(now, quarantine.Struck(struck))
+		}
+		must.True(t, isHeld(l, now, deadly), must.Sprint("seed ", seed))
+	}
+}
+
 func TestApply_EndsAreForgotten(t *testing.T) {
 	l, now := newLedger(t), time.Unix(1000, 0)
 	for range 10 {
