fix(link): catch a panic at the start of a link's task

Run read the clock before serve, which catches panics, so that a panic there ended the process instead of the link.

The start is now in serve.

--- a/lib/link/link.go
+++ b/lib/link/link.go
@@ -250,9 +250,6 @@
 func (l *Link) Run(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	l.lastTickAt, l.tickDelay = l.clock.Now(), idleTickInterval
-	l.tickTimer = l.clock.NewTimer(l.tickDelay)
-	defer l.tickTimer.Stop()
 	go l.read()
 	err := l.serve(ctx)
 	_ = l.conn.Close()
@@ -265,6 +262,9 @@
 // link, since the state that it shares with the peer is then in doubt.
 func (l *Link) serve(ctx context.Context) (err error) {
 	defer task.Catch(func(e *task.PanicError) { err = e })
+	l.lastTickAt, l.tickDelay = l.clock.Now(), idleTickInterval
+	l.tickTimer = l.clock.NewTimer(l.tickDelay)
+	defer l.tickTimer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
