--- a/lib/dispatch/call.go
+++ b/lib/dispatch/call.go
@@ -101,6 +101,8 @@
 	// if it is not known.
 	callerRoute    string
 	callerPriority int
+	// onTrial is whether the call is sent to the server for its trial only.
+	onTrial bool
 	// hedgeTaken is whether a hedge was taken from the share and is not sent yet, and
 	// hedgeSent whether the second send is one.
 	hedgeTaken  bool
@@ -179,7 +181,7 @@
 	}
 	candidates := p.plan.candidates
 	for reservations := 0; ; reservations++ {
-		offer, ok := p.findVersionSlot(ctx, candidates)
+		offer, ok := p.findPermittedSlot(ctx, candidates)
 		if !ok {
 			return p.endWithoutSlot()
 		}
@@ -192,6 +194,11 @@
 			offer.event.Endpoint().Withdraw(offer.event.Number())
 			return p.endWithoutSlot()
 		}
+		if p.isAmbiguous() && !p.onTrial {
+			// Its last server ended during the search.
+			offer.event.Endpoint().Withdraw(offer.event.Number())
+			continue
+		}
 		p.fire(eventSend)
 		end := p.execute(ctx, offer)
 		response, again := p.handleAttemptEnd(ctx, end, reservations)
@@ -278,11 +285,11 @@
 		}
 		p.fire(eventNotRun)
 		return p.endWithoutSlot(), false
-	case upstream.Offered, upstream.Queued, upstream.Slowed, upstream.Silent, upstream.Unknown:
+	case upstream.Offered, upstream.Queued, upstream.Slowed, upstream.Silent, upstream.Lost, upstream.Unknown:
 	}
 	p.tried = append(p.tried, p.node)
 	p.uncertainReason = p.reason
-	if idempotent && p.awaitVerdict(ctx) && p.mayRetry(ctx) {
+	if idempotent && (end.HasVerdict() || p.awaitVerdict(ctx)) && p.mayRetry(ctx) {
 		p.fire(eventRetry)
 		return nil, true
 	}
--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -30,13 +30,18 @@
 	// outlierFactor caps a latency, as a multiple of the mean, before it is
 	// averaged.
 	outlierFactor = 3.0
+	// hedgeSearchPause is the time between two searches for a slot for a request whose node
+	// is silent. A link that is silent too is opened anew within about two seconds, and a
+	// search takes up to 40 ms if its servers do not reply.
+	hedgeSearchPause = 100 * time.Millisecond
 )
 
 // execute sends the request to the offered slot and waits for its final event.
 // An idempotent request is hedged, that is, sent to a second server as well,
 // when its server slows down, the node next to it falls silent, or it takes much
 // longer than the mean; the first success counts and the other attempt is
-// cancelled. Any other request waits for its response until its time is over: a
+// cancelled. A request whose connection was lost is not hedged while the verdict on its
+// server is awaited, unless the node falls silent. Any other request waits for its response until its time is over: a
 // silent node may only be paused.
 func (p *pendingCall) execute(ctx context.Context, o offer) upstream.Event {
 	p.node, p.cost = o.event.Endpoint().Node(), o.event.Cost()
@@ -45,21 +50,24 @@
 	p.sendHedging(hedgingMessage{sent: p.plan.service})
 	timer := p.router.clock.NewTimer(p.hedgeDelay())
 	defer timer.Stop()
+	lost := false
 	for {
 		select {
 		case e := <-o.events:
 			switch {
 			case e.Number() != o.event.Number():
+			case e.Kind() == upstream.Lost:
+				lost = true
 			case e.Kind().Final():
 				p.reportLatency(e, started)
 				return e
-			case e.Kind() == upstream.Slowed && p.missesObjective(started, e.Cost()) && p.takeHedge(ctx):
+			case e.Kind() == upstream.Slowed && !lost && p.missesObjective(started, e.Cost()) && p.takeHedge(ctx):
 				return p.hedge(ctx, o, started, hedgeSlowed)
 			case e.Kind() == upstream.Silent && p.mayHedge():
 				return p.hedge(ctx, o, started, hedgeSilent)
 			}
 		case <-timer.Chan():
-			if !p.mayHedge() {
+			if lost || !p.mayHedge() {
 				continue
 			}
 			if p.takeHedge(ctx) {
@@ -126,22 +134,34 @@
 
 // hedge reserves a slot at a second server while the first attempt goes on,
 // and sends the request there if a slot is free and the budget grants a retry.
-// If the first node falls silent later, it looks for a slot again. It returns the
-// final event that settles the attempt.
+// If the first node is silent, or falls silent later, it looks for a slot again and again:
+// the links to the other servers may be silent too, and be replaced soon. The end of a
+// silence is not reported, so it ends with the response, the call's time, or the budget.
+// It returns the final event that settles the attempt.
 func (p *pendingCall) hedge(ctx context.Context, first offer, started time.Time, cause hedgeCause) upstream.Event {
 	reserveCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	found := p.startHedge(reserveCtx, cause)
+	lost := false // whether the first attempt awaits the verdict on its server
+	silent := cause == hedgeSilent
+	var again <-chan time.Time
+	lookAgain := func() {
+		if silent {
+			again = p.router.clock.After(hedgeSearchPause)
+		}
+	}
 	var second *offer
 	var secondEvents chan upstream.Event
 	for {
 		select {
 		case o, ok := <-found:
 			found = nil
-			if !ok || !p.spendRetry(ctx) {
+			if !ok || lost || p.isAmbiguous() || !p.spendRetry(ctx) {
 				p.returnHedge(ok)
 				if ok {
 					o.event.Endpoint().Withdraw(o.event.Number())
+				} else {
+					lookAgain()
 				}
 				continue
 			}
@@ -149,10 +169,21 @@
 			p.countRetry()
 			second, secondEvents = &o, o.events
 			p.submitHedge(o)
+		case <-again:
+			again = nil
+			if !lost && second == nil && found == nil && p.mayHedge() {
+				found = p.startHedge(reserveCtx, hedgeSilent)
+			}
 		case e := <-first.events:
 			if e.Number() != first.event.Number() {
 				continue
 			}
+			switch e.Kind() {
+			case upstream.Lost:
+				lost = true
+			case upstream.Silent:
+				lost, silent = false, true
+			}
 			if e.Kind() == upstream.Silent && second == nil && found == nil && p.mayHedge() {
 				found = p.startHedge(reserveCtx, hedgeSilent)
 			}
@@ -175,7 +206,14 @@
 				p.node = second.event.Endpoint().Node()
 				return e
 			}
+			if e.Kind() == upstream.Refused {
+				// The offer was lost before anything reached the server.
+				p.attempts--
+			} else {
+				p.tried = append(p.tried, second.event.Endpoint().Node())
+			}
 			second, secondEvents = nil, nil
+			lookAgain()
 		case <-ctx.Done():
 			p.stopHedge(second, stop, found)
 			return p.cancel(first)
--- a/lib/serverproxy/messages.go
+++ b/lib/serverproxy/messages.go
@@ -23,6 +23,8 @@
 	departure   *departureMessage
 	snapshot    *Snapshot
 	checkResult *healthResult
+	verdict     *verdict
+	settled     []lostRequest
 	stop        *upstream.Shutdown
 	admission   *rollout.Admission
 	recalled    *recalledServer
@@ -125,7 +127,7 @@
 	case m.releaseLink != nil:
 		p.handleReleaseLink(*m.releaseLink)
 	case m.finished != nil:
-		p.handleFinished(m.finished)
+		p.handleFinished(ctx, m.finished)
 	case m.announce != nil:
 		m.announce.reply <- p.handleAnnounce(m.announce.announcement)
 	case m.leave != nil:
@@ -136,6 +138,10 @@
 		p.handleSnapshot(*m.snapshot)
 	case m.checkResult != nil:
 		p.handleHealthResult(m.checkResult)
+	case m.verdict != nil:
+		p.handleVerdict(ctx, m.verdict)
+	case m.settled != nil:
+		settle(m.settled)
 	case m.admission != nil:
 		p.setAdmission(*m.admission)
 	case m.recalled != nil:
