fix(dispatch): a credit that lapsed long ago is not used

Cause: a call takes its credit beside its search for a slot, and may queue for 0.3 of its latency objective. On a route with an objective of 10 s, requests that had taken credits over 3 s could be sent together when servers resume; the bound of a window leaves room for some hundred milliseconds. Change: a call that is not sent within 300 ms after the end of its credit takes another one, or gets 429. Retries and hedges still take none.

--- a/lib/dispatch/quota.go
+++ b/lib/dispatch/quota.go
@@ -18,6 +18,9 @@
 	// minQuotaRetryAfter is the shortest Retry-After time of such a call. The nodes ask an
 	// owner again after 50 ms.
 	minQuotaRetryAfter = 50 * time.Millisecond
+	// maxLateSubmit is how long after the end of its credit a call may be sent, so that a credit
+	// taken shortly before its end is not lost. docs/design/quotas.md leaves room for it.
+	maxLateSubmit = 300 * time.Millisecond
 	// quotaRetryJitter spreads out the refused callers of a tenant. A flood of 7 times the
 	// usual demand has more than three requests too many for each that is admitted, so
 	// the callers are to come back over at least a second.
@@ -43,10 +46,20 @@
 	}
 }
 
-// awaitCredit waits until the credit of the call is there. It returns the response to a
-// call that gets none.
+// hasLapsed reports whether the credit of a call that no server has got can no longer be used,
+// since the call has waited for a slot for too long.
+func (p *pendingCall) hasLapsed(v quota.Verdict) bool {
+	return p.attempts == 0 && v.Admitted() && v.Source() != quota.FromNoLimit && !p.router.clock.Now().Before(v.ExpiresAt().Add(maxLateSubmit))
+}
+
+// awaitCredit waits until the credit of the call is there, and takes another one if it has
+// lapsed. It returns the response to a call that gets none.
 func (p *pendingCall) awaitCredit(ctx context.Context) (*upstream.Response, bool) {
 	v, ok := p.claim.Wait(ctx)
+	for ok && p.hasLapsed(v) {
+		p.beginClaim()
+		v, ok = p.claim.Wait(ctx)
+	}
 	switch {
 	case ok && v.Admitted():
 		return nil, true
--- a/lib/dispatch/quota_test.go
+++ b/lib/dispatch/quota_test.go
@@ -135,10 +135,7 @@
 // key was removed while it waited for the answer of its tenant's owner, and against 429, after
 // which the caller would come back, where the key is no longer valid.
 func TestServe_KeyRemovedWhileWaitingForCredit(t *testing.T) {
-	name, v := "choir", quota.NewView("self", []string{"other"}, 2, false)
-	for v.Owner(name) != "other" {
-		name += "r"
-	}
+	name := ownedByOther()
 	for outcome, settle := range map[string]func(c *controller.Controller, q quota.Question){
 		"credit granted": func(c *controller.Controller, q quota.Question) {
 			c.HandleAnswer(quota.NewAnswer(q.Number(), 1, 0, true))
@@ -149,17 +146,7 @@
 		"tenant removed": func(c *controller.Controller, _ quota.Question) { c.Configure(nil) },
 	} {
 		rig := newTenantRig(t, routeconfig.NewTenant(name, []string{"key-1"}))
-		ctx, cancel := context.WithCancel(context.Background())
-		t.Cleanup(cancel)
-		clock, questions := clockwork.NewFakeClock(), make(chan quota.Question, 1)
-		c := controller.New(func(run func(context.Context)) { go run(ctx) }, controller.NewConfig("self", quota.NewBounds(5*time.Second, 0.1, 20)), clock,
-			rig.events, controller.NewObserver(func(quota.Source, int) {}, func(quota.Source) {}, func(int) {}))
-		c.SetMembership(controller.NewMembership(map[string]func(quota.Question) bool{"other": func(q quota.Question) bool {
-			questions <- q
-			return true
-		}}, 2, false))
-		c.Configure([]quota.Limit{quota.NewLimit(name, 100, 100)})
-		rig.router.UseQuotas(c.Begin)
+		c, questions := rig.useQuotas(t, clockwork.NewFakeClockAt(time.Now()), name)
 		done := make(chan *upstream.Response, 1)
 		go func() { done <- rig.router.Serve(context.Background(), tenantCall("/read/1", "id", "key-1")) }()
 		q := <-questions
@@ -174,5 +161,52 @@
 	}
 }
 
+// ownedByOther returns a tenant that the node other owns in a view of self and other.
+func ownedByOther() string {
+	name, v := "choir", quota.NewView("self", []string{"other"}, 2, false)
+	for v.Owner(name) != "other" {
+		name += "r"
+	}
+	return name
+}
+
+// useQuotas limits a tenant that the node other owns, and returns the controller and the
+// questions to that node.
+func (rig *tenantRig) useQuotas(t *testing.T, clock clockwork.Clock, tenant string) (*controller.Controller, <-chan quota.Question) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	questions := make(chan quota.Question, 8)
+	c := controller.New(func(run func(context.Context)) { go run(ctx) }, controller.NewConfig("self", quota.NewBounds(5*time.Second, 0.1, 20)), clock,
+		rig.events, controller.NewObserver(func(quota.Source, int) {}, func(quota.Source) {}, func(int) {}))
+	c.SetMembership(controller.NewMembership(map[string]func(quota.Question) bool{"other": func(q quota.Question) bool {
+		questions <- q
+		return true
+	}}, 2, false))
+	c.Configure([]quota.Limit{quota.NewLimit(tenant, 100, 100)})
+	rig.router.UseQuotas(c.Begin)
+	return c, questions
+}
+
+// TestServe_CreditThatLapsedIsNotUsed guards against requests that took credits one after another,
+// waited for slots, and are sent together later than the bound on a window allows for.
+func TestServe_CreditThatLapsedIsNotUsed(t *testing.T) {
+	rig := newTenantRig(t, routeconfig.NewTenant(ownedByOther(), []string{"key-1"}))
+	clock := clockwork.NewFakeClockAt(time.Now().Add(-time.Second)) // what it grants has lapsed
+	c, questions := rig.useQuotas(t, clock, ownedByOther())
+	done := make(chan *upstream.Response, 1)
+	go func() { done <- rig.router.Serve(context.Background(), tenantCall("/read/1", "id", "key-1")) }()
+	c.HandleAnswer(quota.NewAnswer((<-questions).Number(), 1, 0, true))
+	var second quota.Question
+	select {
+	case second = <-questions:
+	case <-done:
+		t.Fatal("the request was sent with a credit that had lapsed")
+	}
+	must.Eq(t, 0, len(rig.server.submitted))
+	c.HandleAnswer(quota.NewAnswer(second.Number(), 0, time.Second, true))
+	must.Eq(t, http.StatusTooManyRequests, (<-done).Status())
+	must.Eq(t, 0, len(rig.server.submitted))
+}
+
 // otherChoir is a tenant that has none of the keys of other tests.
 func otherChoir() routeconfig.Tenant { return routeconfig.NewTenant("second choir", []string{"key-7"}) }
