fix(downstream): a pressure that is no share does no lasting harm

Cause: a pressure of NaN or infinity from a peer stayed in the fading sum for ever, and the route was never reduced again. Change: numbers outside 0 to 1 count as the nearest share, and NaN not at all.

--- a/lib/downstream/downstream.go
+++ b/lib/downstream/downstream.go
@@ -116,12 +116,14 @@
 }
 
 // RecordPressure records the pressure at the service that the replies to a call by a run
-// of the route stated.
+// of the route stated. A sum that once held NaN or infinity would hold it for ever, so a number
+// that is no share counts as the nearest one, and NaN not at all.
 func (c *Controller) RecordPressure(now time.Time, name, service string, pressure float64) {
 	r, ok := c.routes[name]
-	if !ok {
+	if !ok || math.IsNaN(pressure) {
 		return
 	}
+	pressure = max(0, min(pressure, 1))
 	r.step(now)
 	s := r.called(service)
 	s.pressure.add(now, pressure, pressureHalfLife)
--- a/lib/downstream/downstream_test.go
+++ b/lib/downstream/downstream_test.go
@@ -261,3 +261,21 @@
 	must.Eq(t, 0, pressure)
 	must.Eq(t, 1, c.Allowance(at(8400), "report"))
 }
+
+// TestPressureThatIsNoShare_IsBounded guards against a route that is no longer reduced, or is
+// reduced for ever, after a peer has stated a pressure that is no share.
+func TestPressureThatIsNoShare_IsBounded(t *testing.T) {
+	for _, faulty := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), -5, 1e300} {
+		c := downstream.New()
+		c.RecordRun(at(0), "report")
+		c.RecordCall(at(0), "report", "stock")
+		c.RecordPressure(at(0), "report", "stock", faulty)
+		pressure, _ := c.Pressure(at(0), "report")
+		must.Between(t, 0, pressure, 1, must.Sprint(faulty))
+		for ms := 3000; ms < 5000; ms += 10 {
+			c.RecordPressure(at(ms), "report", "stock", 0.5)
+		}
+		pressure, _ = c.Pressure(at(5000), "report")
+		must.Between(t, 0.3, pressure, 0.51, must.Sprint(faulty))
+	}
+}
