docs: usage and names of quotas, hedges and the HTTP client

Cause: two usage examples did not compile, a method that refuses was called decide, and one that leaves out far servers was named after another kind of candidate. Change: the examples and the names.

--- a/lib/dispatch/hedgelimit.go
+++ b/lib/dispatch/hedgelimit.go
@@ -159,7 +159,7 @@
 // limited, it goes to no far data centre, even if there is no other server here, unless it
 // replaces the send to a silent node, for which no cost is too high.
 func (p *pendingCall) hedgeCandidates(candidates []candidate, maxCost float64) []candidate {
-	candidates = withoutOverflow(candidates)
+	candidates = withoutFar(candidates)
 	if !p.plan.hedgesLimited || math.IsInf(maxCost, 1) {
 		return candidates
 	}
--- a/lib/dispatch/overflow.go
+++ b/lib/dispatch/overflow.go
@@ -115,9 +115,9 @@
 	}
 }
 
-// withoutOverflow returns the candidates of a hedge, which is not worth a slot in a far
+// withoutFar returns the candidates of a hedge, which is not worth a slot in a far
 // data centre while there are servers here.
-func withoutOverflow(candidates []candidate) []candidate {
+func withoutFar(candidates []candidate) []candidate {
 	kept := candidates[:0]
 	for _, c := range candidates {
 		if !c.far {
--- a/lib/httpclient/doc.go
+++ b/lib/httpclient/doc.go
@@ -8,7 +8,7 @@
 //
 // # Usage
 //
-//	c, err := httpclient.Dial(ctx, address)
+//	c, err := httpclient.Dial(ctx, address, memory)
 //	r := c.Exchange(ctx, names, instance, request, timeout)
 //	if r.Outcome() == httpclient.Answered { ... r.Response() }
 //	if r.Reusable() { pool = append(pool, c) }
--- a/lib/quota/doc.go
+++ b/lib/quota/doc.go
@@ -8,12 +8,13 @@
 //
 // # Usage
 //
-//	n := quota.NewNode("host-1", bounds, send, settle, observer)
-//	n.Configure(now, limits)
+//	n := quota.NewNode(now, "host-1", bounds, send, settle, observer)
 //	n.SetView(now, quota.NewView("host-1", linked, members, false))
-//	if !n.Take(now, "hule930") {
+//	accounts := n.Configure(now, limits)
+//	if _, ok := accounts["hule930"].Take(now); !ok {
 //		n.Request(now, "hule930", id) // settle is called with the verdict
 //	}
+//	if due, ok := n.NextTimeout(); ok { ... n.Expire(due) }
 //
 // A Node belongs to one goroutine, except its accounts, whose credits any goroutine may
 // take. The package has no clock and no goroutines; lib/quota/controller is the task
--- a/lib/quota/node.go
+++ b/lib/quota/node.go
@@ -130,7 +130,7 @@
 		return
 	}
 	if now.Before(w.pausedUntil) {
-		n.decide(w, id, w.verdict(now, false, FromPause, w.grantedBy, w.retryAt.Sub(now)))
+		n.refuse(w, id, w.verdict(now, false, FromPause, w.grantedBy, w.retryAt.Sub(now)))
 		return
 	}
 	w.waiting = append(w.waiting, id)
@@ -254,6 +254,6 @@
 	w.retryAt = now.Add(a.retryAfter)
 	w.pausedUntil = now.Add(min(a.retryAfter, pausePeriod))
 	for _, id := range n.takeWaiting(w, len(w.waiting)) {
-		n.decide(w, id, w.verdict(now, false, FromOwner, open.to, a.retryAfter))
+		n.refuse(w, id, w.verdict(now, false, FromOwner, open.to, a.retryAfter))
 	}
 }
--- a/lib/quota/silence.go
+++ b/lib/quota/silence.go
@@ -95,7 +95,7 @@
 		if !ok {
 			if refuse {
 				for _, id := range n.takeWaiting(w, len(w.waiting)) {
-					n.decide(w, id, w.verdict(now, false, FromFallback, owner, retryAfter))
+					n.refuse(w, id, w.verdict(now, false, FromFallback, owner, retryAfter))
 				}
 			}
 			return
@@ -119,8 +119,8 @@
 	}
 }
 
-// decide settles a request that is refused.
-func (n *Node) decide(w *wallet, id uint64, v Verdict) {
+// refuse settles a request that is refused.
+func (n *Node) refuse(w *wallet, id uint64, v Verdict) {
 	n.observer.refused(w.limit.tenant, v)
 	n.settle(id, v)
 }
--- a/lib/quota/wallet.go
+++ b/lib/quota/wallet.go
@@ -34,7 +34,7 @@
 	grantedAt   time.Time
 	grantedBy   string
 	granted     int
-	question    *openQuestion // the last one, nil once it is answered
+	question    *openQuestion // the last one, nil once it is answered or no longer waited for
 	askedAt     time.Time
 	askedNode   string
 	// isSilent reports that no owner answers, so that requests do not wait for one.
