fix(serverproxy): keep the probe's connection within the server's limit

The connection that shows whether a server has ended came on top of those that the server accepts. The slot of the lost request is now kept until the probe is over, and idle connections make room for it.

The new test fails if the slot is released at once; lib/serverproxy passes with -race.

--- a/lib/serverproxy/connections.go
+++ b/lib/serverproxy/connections.go
@@ -48,11 +48,20 @@
 }
 
 // canKeepIdle reports whether one more idle connection leaves the total,
-// including connections in use and for health checks, within the server's
+// including connections in use, for health checks and for a probe, within the server's
 // connection limit.
 func (p *Proxy) canKeepIdle() bool {
 	limit := p.service.MaxConnections()
-	return limit == 0 || len(p.forwarded)+len(p.idleConns)+healthCheckConns < limit
+	return limit == 0 || p.openConns() < limit
+}
+
+// openConns returns how many connections to the server there are at most.
+func (p *Proxy) openConns() int {
+	open := len(p.forwarded) + len(p.idleConns) + healthCheckConns
+	if p.losses.probing {
+		open++
+	}
+	return open
 }
 
 // evictIdleConn closes the connection that has been idle longest if a new
@@ -60,7 +69,7 @@
 // connection is already counted in p.forwarded.
 func (p *Proxy) evictIdleConn() {
 	limit := p.service.MaxConnections()
-	if limit > 0 && len(p.idleConns) > 0 && len(p.forwarded)+len(p.idleConns)+healthCheckConns > limit {
+	if limit > 0 && len(p.idleConns) > 0 && p.openConns() > limit {
 		p.idleConns[0].Close()
 		p.idleConns = p.idleConns[1:]
 	}
--- a/lib/serverproxy/losses.go
+++ b/lib/serverproxy/losses.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"savorygap.example/lib/httpclient"
+	"savorygap.example/lib/limiter"
 	"savorygap.example/lib/quarantine"
 	"savorygap.example/lib/task"
 	"savorygap.example/lib/upstream"
@@ -40,6 +41,7 @@
 	waiting []lostRequest
 	probed  int
 	probing bool
+	slot    limiter.Key // kept while a probe is under way, so that its connection is within the limit
 }
 
 // lostRequest is a request whose connection was lost and whose sender awaits the verdict.
@@ -87,6 +89,7 @@
 		return
 	}
 	p.losses.probing, p.losses.probed = true, len(p.losses.waiting)
+	p.evictIdleConn()
 	go p.probe(ctx, p.latest.address, p.generation)
 }
 
@@ -121,6 +124,10 @@
 		settle(alive)
 	}
 	p.startProbe(ctx)
+	if !p.losses.probing {
+		p.slotLimiter.Release(p.losses.slot)
+		p.advanceQueue(p.clock.Now())
+	}
 }
 
 // reportsEnds reports whether the end of the instance is evidence against what it was at
@@ -137,8 +144,8 @@
 }
 
 // recordLoss remembers a request whose connection was lost, and has the server checked at
-// once.
-func (p *Proxy) recordLoss(ctx context.Context, now time.Time, r *upstream.Request) {
+// once. It releases the slot of the request, or keeps it for the probe.
+func (p *Proxy) recordLoss(ctx context.Context, now time.Time, key limiter.Key, r *upstream.Request) {
 	if len(p.losses.losses) < maxLosses {
 		p.losses.losses = append(p.losses.losses, loss{fingerprint: quarantine.FingerprintOf(r), at: now})
 	}
@@ -147,7 +154,13 @@
 	if now.Sub(p.losses.endedAt) < lossWindow && !p.admits() {
 		p.reportEnd(now)
 	}
+	before := p.losses.probing
 	p.startProbe(ctx)
+	if p.losses.probing && !before {
+		p.losses.slot = key
+		return
+	}
+	p.slotLimiter.Release(key)
 }
 
 // recordEnd records that the server refuses connections or was replaced.
--- a/lib/serverproxy/losses_test.go
+++ b/lib/serverproxy/losses_test.go
@@ -1,13 +1,19 @@
 package serverproxy_test
 
 import (
+	"context"
+	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"savorygap.example/lib/httpclient"
 	"savorygap.example/lib/quarantine"
+	"savorygap.example/lib/routeconfig"
+	"savorygap.example/lib/serverproxy"
 	"savorygap.example/lib/upstream"
 )
 
@@ -90,3 +96,50 @@
 	}
 	must.Eq(t, 0, len(r.ended))
 }
+
+// TestEnd_ProbeStaysWithinTheConnectionLimit guards against a server that is sent more
+// connections than it accepts, since it is probed while all slots are in use: the slot of the
+// lost request is kept until the probe is over.
+func TestEnd_ProbeStaysWithinTheConnectionLimit(t *testing.T) {
+	var r *rig
+	ready, blocked := make(chan struct{}), make(chan struct{})
+	var blocking atomic.Bool
+	r = newRigWith(t, func(c serverproxy.Config) serverproxy.Config {
+		return c.WithDial(func(context.Context, string) (*httpclient.Conn, error) {
+			<-ready
+			if blocking.Load() {
+				<-blocked
+			}
+			near, far := net.Pipe()
+			go r.server.serve(far)
+			return httpclient.NewConn(near, upstream.NewBodyMemory(1<<20)), nil
+		})
+	})
+	close(ready)
+	// One connection is for health checks.
+	services := []routeconfig.Service{routeconfig.NewService("shop", "/healthz", 6)}
+	r.proxy.SetSnapshot(serverproxy.NewSnapshot(routeconfig.New(2, nil, services, routeconfig.DefaultLimits()), false, 2))
+	must.True(t, r.announce(announcement("i-1", 1, 1)))
+	r.awaitState("open")
+	events := r.mustOffer(1)
+	r.submit(1, "id", time.Hour)
+	<-r.server.requests
+	blocking.Store(true)
+	r.server.answers <- closeConnection
+	must.Eq(t, upstream.Lost, (<-events).Kind())
+	number := uint64(1)
+	offers := func() (offered int) {
+		for {
+			number++
+			if (<-r.reserve(number, 0)).Kind() != upstream.Offered {
+				return offered
+			}
+			offered++
+		}
+	}
+	must.Positive(t, offers())
+	blocking.Store(false)
+	close(blocked)
+	must.Eq(t, upstream.Unknown, (<-events).Kind())
+	must.Eq(t, 1, offers())
+}
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -192,7 +192,10 @@
 	delete(p.forwarded, m.key)
 	p.inFlight.Add(-1)
 	p.publishRunning()
-	p.slotLimiter.Release(m.key)
+	lost := isLost(m.result) && r.generation == p.generation
+	if !lost {
+		p.slotLimiter.Release(m.key)
+	}
 	p.keepIdle(m.conn)
 	now := p.clock.Now()
 	if m.dialled {
@@ -203,9 +206,9 @@
 	}
 	p.judgeFinished(now, r, m.result)
 	p.recordResult(now, m.result, now.Sub(r.started), cancelled)
-	if isLost(m.result) && r.generation == p.generation {
+	if lost {
 		p.awaitVerdict(m)
-		p.recordLoss(ctx, now, r.request)
+		p.recordLoss(ctx, now, m.key, r.request)
 	}
 	p.endFinished(m)
 	p.logRequest(now, r, m.result, cancelled)
