soak: tenants with API keys

The soak knew no tenants. The sample configuration now has two, and a route without a key. Each version of the configuration adds a key and removes the one of the second version before it, as it does with marker routes, so every change of the configuration that the soak makes also changes keys.

Callers send valid, unknown, missing and removed keys, and a forged Savorygap-Tenant. New checks: KEY (an unknown or missing key is never executed; a removed one is not, 2.5 s after the acknowledgement, on undisturbed hosts; no key reaches a server; the key of the version in force is accepted) and TENANT (the server gets exactly the tenant of the key). Violations are counted by rule in the output.

--- a/savorygap-bench/internal/cluster/executions.go
+++ b/savorygap-bench/internal/cluster/executions.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"savorygap.example/lib/task"
+	"savorygap.example/platform"
 	"savorygap.example/platform/platformtest"
 )
 
@@ -33,6 +34,14 @@
 // OverCapacity reports whether all slots were taken when the execution started.
 func (e Execution) OverCapacity() bool { return e.execution.OverCapacity() }
 
+// Tenants returns the names of tenants that the request carries.
+func (e Execution) Tenants() []string {
+	return e.execution.Header().Values(platform.HeaderNames().Tenant())
+}
+
+// Authorization returns the credentials that the request carries.
+func (e Execution) Authorization() []string { return e.execution.Header().Values("Authorization") }
+
 // Host returns the host that the server runs on.
 func (e Execution) Host() *Host { return e.host }
 
--- a/savorygap-bench/internal/soak/callers.go
+++ b/savorygap-bench/internal/soak/callers.go
@@ -35,12 +35,14 @@
 	service    string
 	bodySize   int
 	idempotent bool
+	anonymous  bool // needs no key
 	weight     float64
 }
 
 func flows() []flow {
 	return []flow{
-		{name: "logs", method: http.MethodGet, path: "/logview/today", service: "logview", idempotent: true, weight: 0.6},
+		{name: "logs", method: http.MethodGet, path: "/logview/today", service: "logview", idempotent: true, weight: 0.55},
+		{name: "open", method: http.MethodGet, path: "/open/today", service: "logview", idempotent: true, anonymous: true, weight: 0.05},
 		{name: "findings", method: http.MethodPost, path: "/findings/new", service: "findings", bodySize: 300, weight: 0.3},
 		{name: "archive", method: http.MethodPost, path: "/sensorhub/archive", service: "sensorhub", bodySize: archiveBytes, weight: 0.1},
 	}
@@ -50,6 +52,7 @@
 type sample struct {
 	id                string
 	flow              flow
+	credential        credential
 	host              *cluster.Host
 	sent              time.Time
 	ended             time.Time
@@ -117,28 +120,34 @@
 	for sending.Err() == nil {
 		time.Sleep(time.Duration(rng.ExpFloat64() * float64(time.Second) / requestsPerSecond))
 		f := pickFlow(rng)
+		credential := pickCredential(rng, f)
 		wait := callerTimeout
 		if rng.Float64() < 0.02 {
 			wait = cluster.ServiceTime / 2
 		}
 		go func() {
-			c.record(send(client, h, f, f.path, wait))
+			c.record(send(client, h, f, credential, f.path, wait))
 		}()
 	}
 }
 
-// probe requests the route of the latest configuration version from a host at
-// regular intervals.
+// probe requests the route of the latest configuration version with its key from a host at
+// regular intervals, and another route with the key that the version removed.
 func (c *callers) probe(sending context.Context, h *cluster.Host, version func() int64) {
 	client := newClient()
 	defer client.CloseIdleConnections()
 	f := flow{name: "marker", method: http.MethodGet, service: "logview", idempotent: true}
+	removed := flow{name: "removed key", method: http.MethodGet, service: "logview", idempotent: true}
 	for sending.Err() == nil {
 		time.Sleep(probeInterval)
 		v := version()
-		s := send(client, h, f, platformtest.MarkerPrefix(v)+"/x", callerTimeout)
-		s.version = v
-		c.record(s)
+		for _, s := range []sample{
+			send(client, h, f, markerCredential(v), platformtest.MarkerPrefix(v)+"/x", callerTimeout),
+			send(client, h, removed, markerCredential(v-2), "/logview/today", callerTimeout),
+		} {
+			s.version = v
+			c.record(s)
+		}
 	}
 }
 
@@ -157,9 +166,10 @@
 }
 
 // send sends one request and reads the complete response. The request states the
-// timeout callerTimeout; a shorter wait simulates a caller that cancels early.
-func send(client *http.Client, h *cluster.Host, f flow, path string, wait time.Duration) sample {
-	s := sample{id: uuid.NewString(), flow: f, host: h, sent: time.Now(), cancelled: wait < callerTimeout}
+// timeout callerTimeout; a shorter wait simulates a caller that cancels early. It also
+// carries the name of a tenant, which no server may get.
+func send(client *http.Client, h *cluster.Host, f flow, c credential, path string, wait time.Duration) sample {
+	s := sample{id: uuid.NewString(), flow: f, credential: c, host: h, sent: time.Now(), cancelled: wait < callerTimeout}
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	body := ""
@@ -173,6 +183,10 @@
 	request.Host = platformtest.VirtualHost
 	names := platform.HeaderNames()
 	request.Header.Set(names.AttemptID(), s.id)
+	request.Header.Set(names.Tenant(), forgedTenant)
+	if c.key != "" {
+		request.Header.Set("Authorization", platform.AuthenticationScheme+" "+c.key)
+	}
 	request.Header.Set(names.Timeout(), strconv.FormatInt(callerTimeout.Milliseconds(), 10))
 	response, err := client.Do(request)
 	s.ended = time.Now()
--- a/savorygap-bench/internal/soak/check.go
+++ b/savorygap-bench/internal/soak/check.go
@@ -48,6 +48,7 @@
 	all = append(all, checkLost(samples, byID, hist)...)
 	all = append(all, checkConfiguration(samples, hist)...)
 	all = append(all, checkLimits(executions, hist)...)
+	all = append(all, checkKeys(samples, byID, hist)...)
 	return append(all, checkExecutions(executions, samples, hist)...)
 }
 
@@ -66,7 +67,7 @@
 			add(s, "TWICE", "non-idempotent request executed more than once")
 		case !s.flow.idempotent && s.notRun() && count > 0:
 			add(s, "REFUSED", "reported as not executed, but was executed")
-		case s.flow.name != "marker" && s.status >= 400 && s.status < 500 && !s.notRun():
+		case s.credential.accepted && s.status >= 400 && s.status < 500 && !s.notRun():
 			add(s, "DENIED", "valid request rejected")
 		case s.status == http.StatusBadGateway && onlyPlannedWork(hist, s):
 			add(s, "FAILED", "outcome unknown although only planned operations were in progress")
--- a/savorygap-bench/internal/soak/phases.go
+++ b/savorygap-bench/internal/soak/phases.go
@@ -73,7 +73,7 @@
 	sent, notRun, other := 0, 0, 0
 	for _, s := range samples {
 		switch {
-		case s.sent.Before(from) || s.cancelled || s.flow.name == "marker":
+		case s.sent.Before(from) || s.cancelled || !s.credential.accepted:
 			continue
 		case s.status == 200:
 			took = append(took, s.ended.Sub(s.sent))
--- a/savorygap-bench/internal/soak/soak.go
+++ b/savorygap-bench/internal/soak/soak.go
@@ -21,6 +21,7 @@
 	"slices"
 	"time"
 
+	"savorygap.example/platform/platformtest"
 	"savorygap.example/savorygap-bench/internal/cluster"
 )
 
@@ -235,7 +236,7 @@
 	for _, h := range r.cluster.Hosts() {
 		client := newClient()
 		for served := 0; served < finalRequests && ctx.Err() == nil; {
-			s := send(client, h, flows()[0], flows()[0].path, callerTimeout)
+			s := send(client, h, flows()[0], tenantCredential(platformtest.UnlimitedTenant), flows()[0].path, callerTimeout)
 			r.callers.record(s)
 			if s.status == http.StatusOK {
 				served++
@@ -262,6 +263,11 @@
 		fmt.Fprintln(r.out, "no violations found")
 		return nil
 	}
+	rules := map[string]int{}
+	for _, v := range violations {
+		rules[v.rule]++
+	}
+	fmt.Fprintf(r.out, "violations: %v\n", rules)
 	for _, v := range violations[:min(maxPrintedViolations, len(violations))] {
 		fmt.Fprintf(r.out, "%6.2f %s: %s\n", v.at.Sub(r.started).Seconds(), v.rule, v.text)
 	}
