soak: quotas and a tenant that floods

The soak had no limits of tenants. Two tenants now have a limit of 5 requests a second for each host, and send 1/1.6 of it; one of them floods again and again, beside all other operations, with 3 to 7 times that for 6 s. The settings of the nodes have the section quota.

New checks: QUOTA (requests of a tenant that reach servers in any window of 5 s, at all times; a repeated request counts once, and requests that a blocked proxy held up do not count, as in the other checks of rates) and ADMITTED (at least 95 in 100 requests within the limit, in undisturbed intervals of at least a window).

--- a/savorygap-bench/internal/cluster/cluster.go
+++ b/savorygap-bench/internal/cluster/cluster.go
@@ -38,6 +38,8 @@
 	ColdRequestRate = 18
 	// ColdDuration is how long a server stays cold after its start.
 	ColdDuration = 2 * time.Second
+	// quotaPerHost is the limit of a tenant for each host, in requests a second.
+	quotaPerHost = 5
 )
 
 // HostPlan describes a host, which runs a node and one server.
--- a/savorygap-bench/internal/cluster/host.go
+++ b/savorygap-bench/internal/cluster/host.go
@@ -96,6 +96,7 @@
 store: {address: %q}
 retries: {ratio: 0.2, least: 58, window: 10s}
 drain: {grace: 6s}
+quota: {window: 5s, overshoot: 0.1, slack: 20}
 `, h.name, h.address, p.dataCentre, p.service, h.serverProxy.Address(), h.addressOf(portCallers), h.addressOf(portLinks), h.linkProxy.Address(),
 		h.addressOf(portReady), h.addressOf(portAnnouncements), h.addressOf(portMetrics), h.storeProxy.Address()), 0o600)
 }
--- a/savorygap-bench/internal/soak/callers.go
+++ b/savorygap-bench/internal/soak/callers.go
@@ -59,6 +59,7 @@
 	status            int
 	complete          bool
 	signed            bool
+	overQuota         bool // refused because its tenant is above its limit
 	connectionRefused bool // the request was not sent
 	cancelled         bool // the caller was set to cancel before its stated timeout
 	version           int64
@@ -112,15 +113,16 @@
 	return list
 }
 
-// load sends requests to a host until sending ends. Its connections stay open while
+// load sends perSecond requests a second to a host until sending ends, with keys that pick
+// draws. Its connections stay open while
 // the node shuts down, until the process exits.
-func (c *callers) load(sending context.Context, h *cluster.Host, rng *rand.Rand) {
+func (c *callers) load(sending context.Context, h *cluster.Host, rng *rand.Rand, perSecond float64, pick func(*rand.Rand, flow) credential) {
 	client := newClient()
 	defer client.CloseIdleConnections()
 	for sending.Err() == nil {
-		time.Sleep(time.Duration(rng.ExpFloat64() * float64(time.Second) / requestsPerSecond))
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(time.Second) / perSecond))
 		f := pickFlow(rng)
-		credential := pickCredential(rng, f)
+		credential := pick(rng, f)
 		wait := callerTimeout
 		if rng.Float64() < 0.02 {
 			wait = cluster.ServiceTime / 2
@@ -198,6 +200,7 @@
 	text, err := io.ReadAll(response.Body)
 	s.ended = time.Now()
 	s.status, s.signed = response.StatusCode, response.Header.Get(names.Signature()) != ""
+	s.overQuota = response.StatusCode == http.StatusTooManyRequests && bytes.Contains(text, []byte(`"over-quota"`))
 	s.complete = err == nil && (response.StatusCode >= http.StatusMultipleChoices || isComplete(text, s, body))
 	return s
 }
--- a/savorygap-bench/internal/soak/keys.go
+++ b/savorygap-bench/internal/soak/keys.go
@@ -18,6 +18,9 @@
 	forgedTenant    = "forged"
 	unknownKeyShare = 0.03 // of the requests
 	noKeyShare      = 0.02
+	// limitedShare is the share of each tenant with a limit, which is 5 requests a second for
+	// each host that sends 20: their usual demand is the limit divided by 1.6.
+	limitedShare = 0.16
 )
 
 // credential is the key of a request and what follows from it.
@@ -47,7 +50,21 @@
 		c = credential{key: "key-unknown", unknown: true}
 	case x < unknownKeyShare+noKeyShare:
 		c = credential{unknown: true}
+	case x < unknownKeyShare+noKeyShare+limitedShare:
+		c = tenantCredential(platformtest.LimitedTenant)
+	case x < unknownKeyShare+noKeyShare+2*limitedShare:
+		c = tenantCredential(platformtest.FloodingTenant)
 	}
+	return c.on(f)
+}
+
+// pickFlood draws the key of a request of the tenant that floods.
+func pickFlood(_ *rand.Rand, f flow) credential {
+	return tenantCredential(platformtest.FloodingTenant).on(f)
+}
+
+// on returns what follows from the key for a request of a flow.
+func (c credential) on(f flow) credential {
 	if f.anonymous {
 		return credential{key: c.key, accepted: true}
 	}
--- a/savorygap-bench/internal/soak/limits.go
+++ b/savorygap-bench/internal/soak/limits.go
@@ -43,10 +43,7 @@
 		length := minLimitLength + time.Duration(rng.Int64N(int64(maxLimitLength-minLimitLength)))
 		server, from := h.Server(), time.Now()
 		server.SetRateLimit(strconv.FormatFloat(statedRate, 'f', -1, 64))
-		select {
-		case <-time.After(length):
-		case <-ctx.Done():
-		}
+		pause(ctx, length)
 		to := time.Now()
 		server.SetRateLimit("")
 		r.recorder.update(func(hist *history) {
--- a/savorygap-bench/internal/soak/record.go
+++ b/savorygap-bench/internal/soak/record.go
@@ -54,6 +54,8 @@
 	coldStarts   []coldStart
 	changes      []configChange
 	limits       []rateLimit
+	floods       []flood
+	quota        float64 // of each tenant with a limit, in requests a second
 	failures     []string
 }
 
--- a/savorygap-bench/internal/soak/soak.go
+++ b/savorygap-bench/internal/soak/soak.go
@@ -37,6 +37,9 @@
 	// settleTime is the pause before an episode of planned operations, after which the
 	// effects of earlier faults are no longer tolerated.
 	settleTime = recoveryGrace + time.Second
+	// calmLength is how long nothing is done after the last episode. It is above the window
+	// of a quota.
+	calmLength = 6 * time.Second
 	// finalRequests is how many requests each host must serve after the last fault.
 	finalRequests        = 5
 	maxPrintedViolations = 12
@@ -119,10 +122,12 @@
 	limiting, endLimits := context.WithCancel(sending)
 	defer endLimits()
 	go r.stateLimits(limiting)
+	go r.flood(limiting)
 	for time.Since(r.started) < r.options.length && ctx.Err() == nil {
 		r.runEpisode(ctx)
 	}
 	endLimits()
+	r.stayCalm(ctx)
 	r.checkRecovery(ctx)
 	stopSending()
 	time.Sleep(callerTimeout)
@@ -158,9 +163,10 @@
 	version, at := r.cluster.PutConfiguration()
 	r.recorder.update(func(hist *history) {
 		hist.changes = append(hist.changes, configChange{version: version, acknowledged: at})
+		hist.quota = r.cluster.Quota()
 	})
 	for i, h := range r.cluster.Hosts() {
-		go r.callers.load(sending, h, rand.New(rand.NewPCG(r.options.seed, uint64(i)+1)))
+		go r.callers.load(sending, h, rand.New(rand.NewPCG(r.options.seed, uint64(i)+1)), requestsPerSecond, pickCredential)
 		go r.callers.probe(sending, h, func() int64 { return r.latestVersion(ctx) })
 	}
 }
@@ -230,6 +236,22 @@
 	r.recorder.update(func(hist *history) { hist.disturbances[<-index].to = end })
 }
 
+// stayCalm does nothing until the effects of earlier faults are no longer tolerated, and
+// for calmLength after that: episodes leave few intervals for the checks of undisturbed times.
+func (r *run) stayCalm(ctx context.Context) {
+	if r.options.only == "" {
+		pause(ctx, settleTime+calmLength)
+	}
+}
+
+// pause waits for a time or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // checkRecovery checks that every host serves again soon after the last fault.
 func (r *run) checkRecovery(ctx context.Context) {
 	until := time.Now().Add(recoveryTimeout)
