soak: rollouts of good and bad versions

The soak did not roll out. It now rolls out one version after another, beside all other operations, with its own random numbers: good, failing (every second response) or slow (8 times), from the start or up to 0.4 of the duration later. The cluster has two hosts more, without a server, one in each data centre. The service with most requests gets the servers of the new version there; when it is complete, the servers of the old version stop at once and their hosts are the spare ones. The faults fall on the same hosts as before, or with even chance on the partner of one of this service. A restored store gets the order again if it lost it.

New checks: VERSION (no request before the order), EXPOSURE (0.1 of the requests and 50, at all times), ROLLBACK (none 5 s after the 50th bad response) and ROLLOUT (a good version is complete by its deadline, if nothing else was done from 3 s before its order).

--- a/savorygap-bench/internal/cluster/cluster.go
+++ b/savorygap-bench/internal/cluster/cluster.go
@@ -21,6 +21,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -46,6 +47,7 @@
 type HostPlan struct {
 	dataCentre string
 	service    string
+	spare      bool
 }
 
 // NewHostPlan returns the plan of a host in a data centre with a server of a service.
@@ -53,6 +55,16 @@
 	return HostPlan{dataCentre: dataCentre, service: service}
 }
 
+// SpareHosts returns the plans of two hosts for each round, one in each data centre, without
+// a server until SetRelease gives them one. They are for new versions of the first service.
+func SpareHosts(rounds int) []HostPlan {
+	hosts := slices.DeleteFunc(SampleHosts(rounds), func(p HostPlan) bool { return p.service != Services()[0] })
+	for i := range hosts {
+		hosts[i].spare = true
+	}
+	return hosts
+}
+
 // Plan describes a cluster.
 type Plan struct {
 	subnet int
@@ -101,6 +113,7 @@
 	executions   *ExecutionLog
 	http         *http.Client
 	version      atomic.Int64
+	order        atomic.Pointer[rolloutOrder]
 }
 
 // Start builds the node binary unless the plan names one, writes a configuration to
--- a/savorygap-bench/internal/cluster/executions.go
+++ b/savorygap-bench/internal/cluster/executions.go
@@ -17,6 +17,7 @@
 	execution platformtest.Execution
 	host      *Host
 	instance  string
+	version   string
 }
 
 // ID returns the id of the request.
@@ -45,6 +46,9 @@
 // Host returns the host that the server runs on.
 func (e Execution) Host() *Host { return e.host }
 
+// Version returns the version of the server.
+func (e Execution) Version() string { return e.version }
+
 // Instance returns the instance id of the server.
 func (e Execution) Instance() string { return e.instance }
 
--- a/savorygap-bench/internal/cluster/host.go
+++ b/savorygap-bench/internal/cluster/host.go
@@ -53,6 +53,42 @@
 	server      atomic.Pointer[server]
 	serverCount int
 	announcing  chan struct{} // semaphore of one: announcements are sent one at a time
+	changing    chan struct{} // semaphore of one: the server is started and stopped one at a time
+	release     atomic.Pointer[Release]
+}
+
+// Release is a version of a server and its faults.
+type Release struct {
+	version   string
+	failEvery int
+	slowdown  int
+}
+
+// NewRelease returns a version without faults.
+func NewRelease(version string) Release { return Release{version: version, slowdown: 1} }
+
+// WithFailures returns the version with every n-th response a failure.
+func (r Release) WithFailures(n int) Release {
+	r.failEvery = n
+	return r
+}
+
+// WithSlowdown returns the version with responses that take factor times as long.
+func (r Release) WithSlowdown(factor int) Release {
+	r.slowdown = factor
+	return r
+}
+
+// Version returns the version.
+func (r Release) Version() string { return r.version }
+
+// ServiceTime returns how long a server of the version takes for a request.
+func (r Release) ServiceTime() time.Duration { return time.Duration(r.slowdown) * ServiceTime }
+
+// apply has a server behave as the version does.
+func (r Release) apply(s *platformtest.Server) {
+	s.SetServiceTime(r.ServiceTime())
+	s.SetFailures(r.failEvery, "/")
 }
 
 // node is one run of the node process.
@@ -70,7 +106,13 @@
 }
 
 func (c *Cluster) newHost(i int, p HostPlan) (*Host, error) {
-	h := &Host{cluster: c, plan: p, name: fmt.Sprintf("host-%d", i+1), address: fmt.Sprintf("127.0.%d.%d", c.plan.subnet, i+1), announcing: make(chan struct{}, 1)}
+	h := &Host{cluster: c, plan: p, name: fmt.Sprintf("host-%d", i+1), address: fmt.Sprintf("127.0.%d.%d", c.plan.subnet, i+1), announcing: make(chan struct{}, 1), changing: make(chan struct{}, 1)}
+	none := &server{fake: platformtest.NewServer("none", p.service, Slots, ServiceTime), stop: func() {}}
+	none.state.Store("")
+	h.server.Store(none)
+	if !p.spare {
+		h.SetRelease(NewRelease("v1"))
+	}
 	h.settings = filepath.Join(c.dir, h.name+".yaml")
 	var err error
 	for _, e := range []struct {
@@ -97,6 +139,7 @@
 retries: {ratio: 0.2, least: 58, window: 10s}
 drain: {grace: 6s}
 quota: {window: 5s, overshoot: 0.1, slack: 20}
+rollout: {exposureShare: 0.1, exposureSlack: 50, rollbackAfter: 5s}
 `, h.name, h.address, p.dataCentre, p.service, h.serverProxy.Address(), h.addressOf(portCallers), h.addressOf(portLinks), h.linkProxy.Address(),
 		h.addressOf(portReady), h.addressOf(portAnnouncements), h.addressOf(portMetrics), h.storeProxy.Address()), 0o600)
 }
@@ -126,7 +169,33 @@
 // ServerProxy returns the proxy between the node and its server.
 func (h *Host) ServerProxy() *proxy.Proxy { return h.serverProxy }
 
-// Server returns the current instance of the server.
+// Release returns the version of the host's server, and whether it is to have one.
+func (h *Host) Release() (r Release, ok bool) {
+	if p := h.release.Load(); p != nil {
+		return *p, true
+	}
+	return NewRelease(""), false
+}
+
+// SetRelease sets the version of the servers that StartServer starts, and the faults of a
+// running one.
+func (h *Host) SetRelease(r Release) {
+	h.changing <- struct{}{}
+	defer func() { <-h.changing }()
+	h.release.Store(&r)
+	r.apply(h.Server())
+}
+
+// RemoveRelease has StartServer start no server, and stops the running one at once.
+func (h *Host) RemoveRelease() {
+	h.release.Store(nil)
+	h.StopServer()
+}
+
+// HasServer reports whether the server runs.
+func (h *Host) HasServer() bool { return h.server.Load().state.Load() != "" }
+
+// Server returns the current or last instance of the server.
 func (h *Host) Server() *platformtest.Server { return h.server.Load().fake }
 
 // ColdUntil returns when the cold start of the current server ends.
@@ -194,14 +263,22 @@
 	return platformtest.IsReady(h.cluster.ctx, h.cluster.http, h.addressOf(portReady))
 }
 
-// StartServer starts a new instance of the server, which begins with a cold
-// start. It must not be called concurrently.
+// StartServer starts a new instance of the server, which begins with a cold start, unless
+// one runs or the host is to have none.
 func (h *Host) StartServer() error {
+	h.changing <- struct{}{}
+	defer func() { <-h.changing }()
+	release, ok := h.Release()
+	if !ok || h.HasServer() {
+		return nil
+	}
 	h.serverCount++
 	id := fmt.Sprintf("i-%s-%d", h.name, h.serverCount)
 	fake := platformtest.NewServer(id, h.plan.service, Slots, ServiceTime).WithZone(h.plan.dataCentre).WithObserver(func(r platformtest.Execution) {
-		h.cluster.executions.add(Execution{execution: r, host: h, instance: id})
+		h.cluster.executions.add(Execution{execution: r, host: h, instance: id, version: release.version})
 	})
+	fake.SetVersion(release.version)
+	release.apply(fake)
 	fake.SetColdMillis(int(ColdDuration.Milliseconds()))
 	time.AfterFunc(ColdDuration, func() { fake.SetColdMillis(0) })
 	stop, err := fake.Start(h.addressOf(portServer))
@@ -217,18 +294,19 @@
 
 // StopServer stops the server at once without announcing it, as a crash does.
 func (h *Host) StopServer() {
-	if s := h.server.Load(); s != nil {
-		s.state.Store("")
-		s.stop()
-	}
+	h.changing <- struct{}{}
+	defer func() { <-h.changing }()
+	s := h.server.Load()
+	s.state.Store("")
+	s.stop()
 }
 
-// Drain announces the server as draining until the node acknowledges it or ctx ends.
-// It returns the time of the acknowledgement.
+// Drain announces the server as draining until the node acknowledges it, the server stops
+// or ctx ends. It returns the time of the acknowledgement.
 func (h *Host) Drain(ctx context.Context) (acknowledged time.Time, ok bool) {
 	s := h.server.Load()
-	s.state.Store(stateDraining)
-	for ctx.Err() == nil {
+	s.state.CompareAndSwap(stateReady, stateDraining)
+	for ctx.Err() == nil && s.state.Load() != "" {
 		if h.announceOnce(s) {
 			return time.Now(), true
 		}
@@ -237,11 +315,11 @@
 	return time.Time{}, false
 }
 
-// AnnounceDeparture announces that the server has left.
-func (h *Host) AnnounceDeparture() error {
+// AnnounceDeparture announces that an instance of the server has left.
+func (h *Host) AnnounceDeparture(s *platformtest.Server) error {
 	ctx, cancel := context.WithTimeout(h.cluster.ctx, announceTimeout)
 	defer cancel()
-	_, err := h.Server().AnnounceDeparture(ctx, h.addressOf(portAnnouncements))
+	_, err := s.AnnounceDeparture(ctx, h.addressOf(portAnnouncements))
 	return err
 }
 
@@ -262,6 +340,10 @@
 	defer func() { <-h.announcing }()
 	ctx, cancel := context.WithTimeout(h.cluster.ctx, announceTimeout)
 	defer cancel()
-	status, err := s.fake.Announce(ctx, h.addressOf(portAnnouncements), s.state.Load().(string))
+	state, _ := s.state.Load().(string)
+	if state == "" {
+		return false
+	}
+	status, err := s.fake.Announce(ctx, h.addressOf(portAnnouncements), state)
 	return err == nil && status < http.StatusMultipleChoices
 }
--- a/savorygap-bench/internal/cluster/operators.go
+++ b/savorygap-bench/internal/cluster/operators.go
@@ -2,6 +2,32 @@
 
 import "time"
 
+// rolloutOrder is the operators' order to move a service to a version.
+type rolloutOrder struct {
+	service  string
+	version  string
+	duration time.Duration
+}
+
+// OrderRollout orders the rollout of a service to a version.
+func (c *Cluster) OrderRollout(service, version string, duration time.Duration) {
+	c.order.Store(&rolloutOrder{service: service, version: version, duration: duration})
+	c.store.OrderRollout(service, version, duration)
+}
+
+// WithdrawRollout removes the order for a service.
+func (c *Cluster) WithdrawRollout(service string) {
+	c.order.Store(nil)
+	c.store.WithdrawRollout(service)
+}
+
+// RepeatRollout orders the last rollout again if the store has lost the order.
+func (c *Cluster) RepeatRollout() {
+	if o := c.order.Load(); o != nil && c.store.OrderedVersion(o.service) != o.version {
+		c.store.OrderRollout(o.service, o.version, o.duration)
+	}
+}
+
 // PutConfiguration writes the next version of the sample configuration to the store.
 // It returns the version and when the store acknowledged it.
 func (c *Cluster) PutConfiguration() (version int64, acknowledged time.Time) {
--- a/savorygap-bench/internal/soak/check.go
+++ b/savorygap-bench/internal/soak/check.go
@@ -50,6 +50,7 @@
 	all = append(all, checkLimits(executions, hist)...)
 	all = append(all, checkKeys(samples, byID, hist)...)
 	all = append(all, checkQuotas(samples, byID, hist)...)
+	all = append(all, checkRollouts(executions, hist)...)
 	return append(all, checkExecutions(executions, samples, hist)...)
 }
 
--- a/savorygap-bench/internal/soak/faults.go
+++ b/savorygap-bench/internal/soak/faults.go
@@ -123,9 +123,13 @@
 func replaceServer(ctx context.Context, _ *cluster.Cluster, r *recorder, h *cluster.Host, _ time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, exitTimeout)
 	defer cancel()
-	instance := h.Server().ID()
+	server := h.Server()
+	instance := server.ID()
 	at, ok := h.Drain(ctx)
 	if !ok {
+		if !h.HasServer() {
+			return // a spare host, or the server has been stopped by a rollout
+		}
 		r.fail(fmt.Sprintf("drain of server %q on %s was not acknowledged within %s", instance, h.Name(), exitTimeout))
 		return
 	}
@@ -133,10 +137,12 @@
 		hist.departures = append(hist.departures, departure{instance: instance, acknowledged: at})
 	})
 	time.Sleep(drainPeriod)
-	if err := h.AnnounceDeparture(); err != nil {
+	if err := h.AnnounceDeparture(server); err != nil {
 		r.fail(fmt.Sprintf("announce departure of server %q on %s: %v", instance, h.Name(), err))
 	}
-	restartServer(r, h, 0)
+	if h.Server() == server {
+		restartServer(r, h, 0)
+	}
 }
 
 func crashServer(_ context.Context, _ *cluster.Cluster, r *recorder, h *cluster.Host, d time.Duration) {
@@ -146,6 +152,12 @@
 func restartServer(r *recorder, h *cluster.Host, pause time.Duration) {
 	h.StopServer()
 	time.Sleep(pause)
+	startServer(r, h)
+}
+
+// startServer starts the server of a host, unless it is to have none, and records its cold
+// start.
+func startServer(r *recorder, h *cluster.Host) {
 	if err := h.StartServer(); err != nil {
 		r.fail(err.Error())
 		return
@@ -158,10 +170,11 @@
 
 func slowServer(_ context.Context, _ *cluster.Cluster, _ *recorder, h *cluster.Host, d time.Duration) {
 	s := h.Server()
-	s.SetServiceTime(slowdown * cluster.ServiceTime)
+	release, _ := h.Release()
+	s.SetServiceTime(slowdown * release.ServiceTime())
 	s.SetReportedSlowness(slowdown * 100)
 	time.Sleep(d)
-	s.SetServiceTime(cluster.ServiceTime)
+	s.SetServiceTime(release.ServiceTime())
 	s.SetReportedSlowness(100)
 }
 
--- a/savorygap-bench/internal/soak/limits.go
+++ b/savorygap-bench/internal/soak/limits.go
@@ -39,7 +39,7 @@
 func (r *run) stateLimits(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(r.options.seed, limitStream))
 	for ctx.Err() == nil {
-		h := r.cluster.Hosts()[rng.IntN(len(r.cluster.Hosts()))]
+		h := r.withServer(r.sampleHosts()[rng.IntN(len(r.sampleHosts()))])
 		length := minLimitLength + time.Duration(rng.Int64N(int64(maxLimitLength-minLimitLength)))
 		server, from := h.Server(), time.Now()
 		server.SetRateLimit(strconv.FormatFloat(statedRate, 'f', -1, 64))
--- a/savorygap-bench/internal/soak/phases.go
+++ b/savorygap-bench/internal/soak/phases.go
@@ -37,7 +37,7 @@
 // prints a table of what the callers saw in each phase and checks every request as
 // a soak does. It returns *ViolationError when a check failed.
 func RunPhases(ctx context.Context, w io.Writer) error {
-	r, stop, err := start(ctx, io.Discard, NewOptions(0, 1))
+	r, stop, err := start(ctx, io.Discard, NewOptions(0, 1), nil)
 	if err != nil {
 		return err
 	}
--- a/savorygap-bench/internal/soak/record.go
+++ b/savorygap-bench/internal/soak/record.go
@@ -55,6 +55,7 @@
 	changes      []configChange
 	limits       []rateLimit
 	floods       []flood
+	rollouts     []rollout
 	quota        float64 // of each tenant with a limit, in requests a second
 	failures     []string
 }
--- a/savorygap-bench/internal/soak/restore.go
+++ b/savorygap-bench/internal/soak/restore.go
@@ -40,6 +40,7 @@
 	c.Store().SetUnavailable(false)
 	time.Sleep(rewriteDelay)
 	c.RepeatConfiguration()
+	c.RepeatRollout()
 	c.SetEvacuated(h.DataCentre(), true)
 	time.Sleep(d)
 	to := time.Now()
--- a/savorygap-bench/internal/soak/soak.go
+++ b/savorygap-bench/internal/soak/soak.go
@@ -37,9 +37,6 @@
 	// settleTime is the pause before an episode of planned operations, after which the
 	// effects of earlier faults are no longer tolerated.
 	settleTime = recoveryGrace + time.Second
-	// calmLength is how long nothing is done after the last episode. It is above the window
-	// of a quota.
-	calmLength = 6 * time.Second
 	// finalRequests is how many requests each host must serve after the last fault.
 	finalRequests        = 5
 	maxPrintedViolations = 12
@@ -105,13 +102,15 @@
 	rng      *rand.Rand
 	recorder *recorder
 	callers  *callers
+	versions int        // rolled out so far
+	partners *rand.Rand // draws between a host and its partner
 	started  time.Time
 }
 
 // Run runs a soak and prints its operations and result to w. It returns
 // *ViolationError when a check failed.
 func Run(ctx context.Context, w io.Writer, o Options) error {
-	r, stop, err := start(ctx, w, o)
+	r, stop, err := start(ctx, w, o, cluster.SpareHosts(o.rounds))
 	if err != nil {
 		return err
 	}
@@ -123,10 +122,16 @@
 	defer endLimits()
 	go r.stateLimits(limiting)
 	go r.flood(limiting)
+	rolledOut := make(chan struct{})
+	go func() {
+		r.rollOutRepeatedly(limiting)
+		close(rolledOut)
+	}()
 	for time.Since(r.started) < r.options.length && ctx.Err() == nil {
 		r.runEpisode(ctx)
 	}
 	endLimits()
+	<-rolledOut
 	r.stayCalm(ctx)
 	r.checkRecovery(ctx)
 	stopSending()
@@ -134,13 +139,13 @@
 	return r.report(ctx)
 }
 
-// start starts the cluster and the tasks of a soak and returns a function that stops
-// them.
-func start(ctx context.Context, w io.Writer, o Options) (*run, func(), error) {
+// start starts the cluster, with spare hosts, and the tasks of a soak and returns a function
+// that stops them.
+func start(ctx context.Context, w io.Writer, o Options, spares []cluster.HostPlan) (*run, func(), error) {
 	if o.only != "" && !slices.ContainsFunc(faults(), func(f operation) bool { return f.name == o.only }) {
 		return nil, nil, fmt.Errorf("no fault has the name %q", o.only)
 	}
-	c, err := cluster.Start(ctx, cluster.NewPlan(o.subnet, cluster.SampleHosts(o.rounds)).WithBinary(o.binary))
+	c, err := cluster.Start(ctx, cluster.NewPlan(o.subnet, append(cluster.SampleHosts(o.rounds), spares...)).WithBinary(o.binary))
 	if err != nil {
 		return nil, nil, err
 	}
@@ -149,7 +154,7 @@
 		return nil, nil, err
 	}
 	tasks, cancel := context.WithCancel(ctx)
-	r := &run{options: o, out: w, cluster: c, rng: rand.New(rand.NewPCG(o.seed, 0)), recorder: newRecorder(), callers: newCallers(), started: time.Now()}
+	r := &run{options: o, out: w, cluster: c, rng: rand.New(rand.NewPCG(o.seed, 0)), partners: rand.New(rand.NewPCG(o.seed, partnerStream)), recorder: newRecorder(), callers: newCallers(), started: time.Now()}
 	go r.recorder.run(tasks)
 	go r.callers.run(tasks)
 	return r, func() {
@@ -192,7 +197,7 @@
 		time.Sleep(settleTime)
 		choices = plannedOperations()
 	}
-	hosts := slices.Clone(r.cluster.Hosts())
+	hosts := slices.Clone(r.sampleHosts())
 	r.rng.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	count := 1 + r.rng.IntN(maxConcurrentOperations*r.options.rounds)
 	done := make(chan struct{}, count)
@@ -204,6 +209,9 @@
 			continue
 		}
 		storeBusy = storeBusy || o.onStore
+		if other := r.partner(h); other != nil && r.partners.IntN(2) == 0 {
+			h = other
+		}
 		go func() {
 			r.perform(ctx, o, h, d)
 			done <- struct{}{}
@@ -237,10 +245,12 @@
 }
 
 // stayCalm does nothing until the effects of earlier faults are no longer tolerated, and
-// for calmLength after that: episodes leave few intervals for the checks of undisturbed times.
+// rolls out a good version after that: episodes leave few intervals for the checks of
+// undisturbed times.
 func (r *run) stayCalm(ctx context.Context) {
 	if r.options.only == "" {
-		pause(ctx, settleTime+calmLength)
+		pause(ctx, settleTime)
+		r.rollOut(ctx, good, minRollout, 0)
 	}
 }
 
