--- a/savorygap-bench/internal/soak/soak.go
+++ b/savorygap-bench/internal/soak/soak.go
@@ -4,8 +4,9 @@
 //
 // A soak is a sequence of episodes, each of which carries out several operations
 // concurrently. An episode has either planned operations only, during which no
-// request may be lost, or faults as well. The seed determines the episodes and the
-// load.
+// request may be lost, or faults as well. Beside the episodes, servers state rate limits,
+// a tenant floods, and good and bad versions are rolled out to spare hosts. The seed
+// determines all of these and the load.
 //
 // # Usage
 //
