--- a/savorygap-bench/internal/soak/callers.go
+++ b/savorygap-bench/internal/soak/callers.go
@@ -35,12 +35,14 @@
 	service    string
 	bodySize   int
 	idempotent bool
+	anonymous  bool // needs no key
 	weight     float64
 }
 
 func flows() []flow {
 	return []flow{
-		{name: "logs", method: http.MethodGet, path: "/logview/today", service: "logview", idempotent: true, weight: 0.6},
+		{name: "logs", method: http.MethodGet, path: "/logview/today", service: "logview", idempotent: true, weight: 0.55},
+		{name: "open", method: http.MethodGet, path: "/open/today", service: "logview", idempotent: true, anonymous: true, weight: 0.05},
 		{name: "findings", method: http.MethodPost, path: "/findings/new", service: "findings", bodySize: 300, weight: 0.3},
 		{name: "archive", method: http.MethodPost, path: "/sensorhub/archive", service: "sensorhub", bodySize: archiveBytes, weight: 0.1},
 	}
@@ -50,12 +52,14 @@
 type sample struct {
 	id                string
 	flow              flow
+	credential        credential
 	host              *cluster.Host
 	sent              time.Time
 	ended             time.Time
 	status            int
 	complete          bool
 	signed            bool
+	overQuota         bool // refused because its tenant is above its limit
 	connectionRefused bool // the request was not sent
 	cancelled         bool // the caller was set to cancel before its stated timeout
 	version           int64
@@ -109,36 +113,43 @@
 	return list
 }
 
-// load sends requests to a host until sending ends. Its connections stay open while
+// load sends perSecond requests a second to a host until sending ends, with keys that pick
+// draws. Its connections stay open while
 // the node shuts down, until the process exits.
-func (c *callers) load(sending context.Context, h *cluster.Host, rng *rand.Rand) {
+func (c *callers) load(sending context.Context, h *cluster.Host, rng *rand.Rand, perSecond float64, pick func(*rand.Rand, flow) credential) {
 	client := newClient()
 	defer client.CloseIdleConnections()
 	for sending.Err() == nil {
-		time.Sleep(time.Duration(rng.ExpFloat64() * float64(time.Second) / requestsPerSecond))
+		time.Sleep(time.Duration(rng.ExpFloat64() * float64(time.Second) / perSecond))
 		f := pickFlow(rng)
+		credential := pick(rng, f)
 		wait := callerTimeout
 		if rng.Float64() < 0.02 {
 			wait = cluster.ServiceTime / 2
 		}
 		go func() {
-			c.record(send(client, h, f, f.path, wait))
+			c.record(send(client, h, f, credential, f.path, wait))
 		}()
 	}
 }
 
-// probe requests the route of the latest configuration version from a host at
-// regular intervals.
+// probe requests the route of the latest configuration version with its key from a host at
+// regular intervals, and another route with the key that the version removed.
 func (c *callers) probe(sending context.Context, h *cluster.Host, version func() int64) {
 	client := newClient()
 	defer client.CloseIdleConnections()
 	f := flow{name: "marker", method: http.MethodGet, service: "logview", idempotent: true}
+	removed := flow{name: "removed key", method: http.MethodGet, service: "logview", idempotent: true}
 	for sending.Err() == nil {
 		time.Sleep(probeInterval)
 		v := version()
-		s := send(client, h, f, platformtest.MarkerPrefix(v)+"/x", callerTimeout)
-		s.version = v
-		c.record(s)
+		for _, s := range []sample{
+			send(client, h, f, markerCredential(v), platformtest.MarkerPrefix(v)+"/x", callerTimeout),
+			send(client, h, removed, markerCredential(v-2), "/logview/today", callerTimeout),
+		} {
+			s.version = v
+			c.record(s)
+		}
 	}
 }
 
@@ -157,9 +168,10 @@
 }
 
 // send sends one request and reads the complete response. The request states the
-// timeout callerTimeout; a shorter wait simulates a caller that cancels early.
-func send(client *http.Client, h *cluster.Host, f flow, path string, wait time.Duration) sample {
-	s := sample{id: uuid.NewString(), flow: f, host: h, sent: time.Now(), cancelled: wait < callerTimeout}
+// timeout callerTimeout; a shorter wait simulates a caller that cancels early. It also
+// carries the name of a tenant, which no server may get.
+func send(client *http.Client, h *cluster.Host, f flow, c credential, path string, wait time.Duration) sample {
+	s := sample{id: uuid.NewString(), flow: f, credential: c, host: h, sent: time.Now(), cancelled: wait < callerTimeout}
 	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	body := ""
@@ -173,6 +185,10 @@
 	request.Host = platformtest.VirtualHost
 	names := platform.HeaderNames()
 	request.Header.Set(names.AttemptID(), s.id)
+	request.Header.Set(names.Tenant(), forgedTenant)
+	if c.key != "" {
+		request.Header.Set("Authorization", platform.AuthenticationScheme+" "+c.key)
+	}
 	request.Header.Set(names.Timeout(), strconv.FormatInt(callerTimeout.Milliseconds(), 10))
 	response, err := client.Do(request)
 	s.ended = time.Now()
@@ -184,6 +200,7 @@
 	text, err := io.ReadAll(response.Body)
 	s.ended = time.Now()
 	s.status, s.signed = response.StatusCode, response.Header.Get(names.Signature()) != ""
+	s.overQuota = response.StatusCode == http.StatusTooManyRequests && bytes.Contains(text, []byte(`"over-quota"`))
 	s.complete = err == nil && (response.StatusCode >= http.StatusMultipleChoices || isComplete(text, s, body))
 	return s
 }
--- a/savorygap-bench/internal/soak/limits.go
+++ b/savorygap-bench/internal/soak/limits.go
@@ -39,14 +39,11 @@
 func (r *run) stateLimits(ctx context.Context) {
 	rng := rand.New(rand.NewPCG(r.options.seed, limitStream))
 	for ctx.Err() == nil {
-		h := r.cluster.Hosts()[rng.IntN(len(r.cluster.Hosts()))]
+		h := r.withServer(r.sampleHosts()[rng.IntN(len(r.sampleHosts()))])
 		length := minLimitLength + time.Duration(rng.Int64N(int64(maxLimitLength-minLimitLength)))
 		server, from := h.Server(), time.Now()
 		server.SetRateLimit(strconv.FormatFloat(statedRate, 'f', -1, 64))
-		select {
-		case <-time.After(length):
-		case <-ctx.Done():
-		}
+		pause(ctx, length)
 		to := time.Now()
 		server.SetRateLimit("")
 		r.recorder.update(func(hist *history) {
--- a/savorygap-bench/internal/soak/phases.go
+++ b/savorygap-bench/internal/soak/phases.go
@@ -37,7 +37,7 @@
 // prints a table of what the callers saw in each phase and checks every request as
 // a soak does. It returns *ViolationError when a check failed.
 func RunPhases(ctx context.Context, w io.Writer) error {
-	r, stop, err := start(ctx, io.Discard, NewOptions(0, 1))
+	r, stop, err := start(ctx, io.Discard, NewOptions(0, 1), nil)
 	if err != nil {
 		return err
 	}
@@ -73,7 +73,7 @@
 	sent, notRun, other := 0, 0, 0
 	for _, s := range samples {
 		switch {
-		case s.sent.Before(from) || s.cancelled || s.flow.name == "marker":
+		case s.sent.Before(from) || s.cancelled || !s.credential.accepted:
 			continue
 		case s.status == 200:
 			took = append(took, s.ended.Sub(s.sent))
--- a/savorygap-bench/internal/soak/record.go
+++ b/savorygap-bench/internal/soak/record.go
@@ -54,6 +54,9 @@
 	coldStarts   []coldStart
 	changes      []configChange
 	limits       []rateLimit
+	floods       []flood
+	rollouts     []rollout
+	quota        float64 // of each tenant with a limit, in requests a second
 	failures     []string
 }
 
--- a/savorygap-bench/internal/soak/soak.go
+++ b/savorygap-bench/internal/soak/soak.go
@@ -4,8 +4,9 @@
 //
 // A soak is a sequence of episodes, each of which carries out several operations
 // concurrently. An episode has either planned operations only, during which no
-// request may be lost, or faults as well. The seed determines the episodes and the
-// load.
+// request may be lost, or faults as well. Beside the episodes, servers state rate limits,
+// a tenant floods, and good and bad versions are rolled out to spare hosts. The seed
+// determines all of these and the load.
 //
 // # Usage
 //
@@ -21,6 +22,7 @@
 	"slices"
 	"time"
 
+	"savorygap.example/platform/platformtest"
 	"savorygap.example/savorygap-bench/internal/cluster"
 )
 
@@ -101,13 +103,15 @@
 	rng      *rand.Rand
 	recorder *recorder
 	callers  *callers
+	versions int        // rolled out so far
+	partners *rand.Rand // draws between a host and its partner
 	started  time.Time
 }
 
 // Run runs a soak and prints its operations and result to w. It returns
 // *ViolationError when a check failed.
 func Run(ctx context.Context, w io.Writer, o Options) error {
-	r, stop, err := start(ctx, w, o)
+	r, stop, err := start(ctx, w, o, cluster.SpareHosts(o.rounds))
 	if err != nil {
 		return err
 	}
@@ -118,23 +122,31 @@
 	limiting, endLimits := context.WithCancel(sending)
 	defer endLimits()
 	go r.stateLimits(limiting)
+	go r.flood(limiting)
+	rolledOut := make(chan struct{})
+	go func() {
+		r.rollOutRepeatedly(limiting)
+		close(rolledOut)
+	}()
 	for time.Since(r.started) < r.options.length && ctx.Err() == nil {
 		r.runEpisode(ctx)
 	}
 	endLimits()
+	<-rolledOut
+	r.stayCalm(ctx)
 	r.checkRecovery(ctx)
 	stopSending()
 	time.Sleep(callerTimeout)
 	return r.report(ctx)
 }
 
-// start starts the cluster and the tasks of a soak and returns a function that stops
-// them.
-func start(ctx context.Context, w io.Writer, o Options) (*run, func(), error) {
+// start starts the cluster, with spare hosts, and the tasks of a soak and returns a function
+// that stops them.
+func start(ctx context.Context, w io.Writer, o Options, spares []cluster.HostPlan) (*run, func(), error) {
 	if o.only != "" && !slices.ContainsFunc(faults(), func(f operation) bool { return f.name == o.only }) {
 		return nil, nil, fmt.Errorf("no fault has the name %q", o.only)
 	}
-	c, err := cluster.Start(ctx, cluster.NewPlan(o.subnet, cluster.SampleHosts(o.rounds)).WithBinary(o.binary))
+	c, err := cluster.Start(ctx, cluster.NewPlan(o.subnet, append(cluster.SampleHosts(o.rounds), spares...)).WithBinary(o.binary))
 	if err != nil {
 		return nil, nil, err
 	}
@@ -143,7 +155,7 @@
 		return nil, nil, err
 	}
 	tasks, cancel := context.WithCancel(ctx)
-	r := &run{options: o, out: w, cluster: c, rng: rand.New(rand.NewPCG(o.seed, 0)), recorder: newRecorder(), callers: newCallers(), started: time.Now()}
+	r := &run{options: o, out: w, cluster: c, rng: rand.New(rand.NewPCG(o.seed, 0)), partners: rand.New(rand.NewPCG(o.seed, partnerStream)), recorder: newRecorder(), callers: newCallers(), started: time.Now()}
 	go r.recorder.run(tasks)
 	go r.callers.run(tasks)
 	return r, func() {
@@ -157,9 +169,10 @@
 	version, at := r.cluster.PutConfiguration()
 	r.recorder.update(func(hist *history) {
 		hist.changes = append(hist.changes, configChange{version: version, acknowledged: at})
+		hist.quota = r.cluster.Quota()
 	})
 	for i, h := range r.cluster.Hosts() {
-		go r.callers.load(sending, h, rand.New(rand.NewPCG(r.options.seed, uint64(i)+1)))
+		go r.callers.load(sending, h, rand.New(rand.NewPCG(r.options.seed, uint64(i)+1)), requestsPerSecond, pickCredential)
 		go r.callers.probe(sending, h, func() int64 { return r.latestVersion(ctx) })
 	}
 }
@@ -185,7 +198,7 @@
 		time.Sleep(settleTime)
 		choices = plannedOperations()
 	}
-	hosts := slices.Clone(r.cluster.Hosts())
+	hosts := slices.Clone(r.sampleHosts())
 	r.rng.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
 	count := 1 + r.rng.IntN(maxConcurrentOperations*r.options.rounds)
 	done := make(chan struct{}, count)
@@ -197,6 +210,9 @@
 			continue
 		}
 		storeBusy = storeBusy || o.onStore
+		if other := r.partner(h); other != nil && r.partners.IntN(2) == 0 {
+			h = other
+		}
 		go func() {
 			r.perform(ctx, o, h, d)
 			done <- struct{}{}
@@ -229,13 +245,31 @@
 	r.recorder.update(func(hist *history) { hist.disturbances[<-index].to = end })
 }
 
+// stayCalm does nothing until the effects of earlier faults are no longer tolerated, and
+// rolls out a good version after that: episodes leave few intervals for the checks of
+// undisturbed times.
+func (r *run) stayCalm(ctx context.Context) {
+	if r.options.only == "" {
+		pause(ctx, settleTime)
+		r.rollOut(ctx, good, minRollout, 0)
+	}
+}
+
+// pause waits for a time or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // checkRecovery checks that every host serves again soon after the last fault.
 func (r *run) checkRecovery(ctx context.Context) {
 	until := time.Now().Add(recoveryTimeout)
 	for _, h := range r.cluster.Hosts() {
 		client := newClient()
 		for served := 0; served < finalRequests && ctx.Err() == nil; {
-			s := send(client, h, flows()[0], flows()[0].path, callerTimeout)
+			s := send(client, h, flows()[0], tenantCredential(platformtest.UnlimitedTenant), flows()[0].path, callerTimeout)
 			r.callers.record(s)
 			if s.status == http.StatusOK {
 				served++
@@ -262,6 +296,11 @@
 		fmt.Fprintln(r.out, "no violations found")
 		return nil
 	}
+	rules := map[string]int{}
+	for _, v := range violations {
+		rules[v.rule]++
+	}
+	fmt.Fprintf(r.out, "violations: %v\n", rules)
 	for _, v := range violations[:min(maxPrintedViolations, len(violations))] {
 		fmt.Fprintf(r.out, "%6.2f %s: %s\n", v.at.Sub(r.started).Seconds(), v.rule, v.text)
 	}
