rollout: a rollback without a known record states the previous version

A node that heard of a rollback from a peer, but not of the record, which the store had lost, wrote the rollback with an empty previous version. All nodes then took the service to have no version, and no server was admitted. It happens when a node starts after a restore of the store and is the first to write.

The previous version is now found as for the first record of an order, and nothing is written while it is not known.

TestRolledBack_BeforeItsRecordIsKnown fails without the change (a record is due although no old server is known) and passes with it.

--- a/lib/rollout/plan.go
+++ b/lib/rollout/plan.go
@@ -109,6 +109,13 @@
 	}
 	next := NewRecord(r.order.version, r.order.target, r.previous(), Running, 0, r.Elapsed(now)).WithVersion(r.record.version)
 	started := r.record.order == r.order.version
+	if !started {
+		previous, certain := r.formerRelease(servers)
+		if !certain && r.Elapsed(now) < r.at(leftAlone) || previous == "" && r.IsRolledBack() {
+			return Action{}
+		}
+		next.previous = previous
+	}
 	switch {
 	case r.IsRolledBack():
 		if started && r.record.phase == RolledBack {
@@ -117,11 +124,6 @@
 		next.phase = RolledBack
 		next.step = r.step()
 	case !started:
-		previous, certain := r.formerRelease(servers)
-		if !certain && r.Elapsed(now) < r.at(leftAlone) {
-			return Action{}
-		}
-		next.previous = previous
 	case r.step() >= shifted:
 		if !r.mayComplete(now) {
 			return Action{}
--- a/lib/rollout/rollout_test.go
+++ b/lib/rollout/rollout_test.go
@@ -381,3 +381,23 @@
 		}
 	}
 }
+
+// TestRolledBack_BeforeItsRecordIsKnown has a node hear of a rollback of which the store has
+// lost the record. It guards against a record without the version that the service has,
+// after which no server would get requests.
+func TestRolledBack_BeforeItsRecordIsKnown(t *testing.T) {
+	w := newWorld(t, 1)
+	must.True(t, w.rollout.RollBack())
+	var targets []rollout.Server
+	for _, s := range w.servers() {
+		if s.Release() == newVersion {
+			targets = append(targets, s)
+		}
+	}
+	for _, after := range []time.Duration{0, duration / 2} {
+		must.Eq(t, rollout.None, w.rollout.Next(w.now.Add(after), targets).Kind())
+	}
+	next := w.rollout.Next(w.now, w.servers()).Record()
+	must.Eq(t, rollout.RolledBack, next.Phase())
+	must.Eq(t, oldVersion, next.Previous())
+}
