rollout: a node that starts after a restore learns the progress from its peers

While the store lacked order and record of a running rollout, a node that started ignored both in its peers' messages: the order as one that a full read had not listed, the record because it has no version in the store. It sent its requests to the old version, whose servers refuse them once the rollout has shifted, and began the rollout at its first step when the order was written again.

An order of an older era than that of the full read is now adopted and held, and a record of a peer with more progress is adopted whatever its version (Rollout.LearnProgress).

TestRestoredStore_NodeThatStartsWithoutTheOrder fails without either part and passes with both; TestLearnProgress_OfAPeer checks the decision.

--- a/lib/rollout/control/control_test.go
+++ b/lib/rollout/control/control_test.go
@@ -494,3 +494,26 @@
 		}
 	}
 }
+
+// TestRestoredStore_NodeThatStartsWithoutTheOrder has a node start while the store lacks the
+// order of a rollout whose old servers accept no more requests. It guards against a node
+// that sends its requests to them until the operators write the order again, and that then
+// begins the rollout anew.
+func TestRestoredStore_NodeThatStartsWithoutTheOrder(t *testing.T) {
+	n := newNode(t, "self")
+	n.controller.SetLocalServer(control.NewPeer("self", "shop", "i-self", "v1", true))
+	n.controller.SetPeers(peers("v1", "v2"))
+	n.controller.ApplyUpdate(registry.NewUpdate(nil, eraSize+10, true).WithEraStart(eraSize))
+	lost := rollout.NewRecord(20, "v2", "v1", rollout.Running, 5, 4*time.Second)
+	n.controller.Receive(rollout.NewMessage(rollout.NewOrder("shop", "v2", 5*time.Second, 20), lost, 4*time.Second, true, false))
+	must.Eq(t, 0, n.controller.UnderWay(), must.Sprint("a removed order"))
+	n.controller.Receive(rollout.NewMessage(rollout.NewOrder("shop", "v2", 5*time.Second, 20), lost, 4*time.Second, false, false))
+	n.awaitShare(t, 1)
+	n.mustKeepShare(t, 1, 500*time.Millisecond)
+	must.Eq(t, 0, len(n.writes), must.Sprint("the store lacks the order"))
+	n.controller.ApplyUpdate(registry.NewUpdate([]registry.Record{order(eraSize + 20)}, eraSize+20, false).WithEraStart(eraSize))
+	next := <-n.writes
+	must.Eq(t, eraSize+20, next.Order())
+	must.Eq(t, 5, next.Step())
+	must.Eq(t, "v1", next.Previous())
+}
--- a/lib/rollout/control/learn.go
+++ b/lib/rollout/control/learn.go
@@ -184,11 +184,15 @@
 }
 
 // receive applies what a peer knows of a rollout. An order that a full read of the store
-// did not list was removed before.
+// did not list was removed before. If it is of an older era the store may have lost it, and
+// it is held as on the peer.
 func (c *Controller) receive(m rollout.Message) {
 	order := m.Order()
 	c.mergeRecord(order.Service(), m.Record(), "peer")
-	if _, known := c.rollouts[order.Service()]; !known && (order.Version() <= c.readVersion || m.Withdrawn()) {
+	_, known := c.rollouts[order.Service()]
+	isUnlisted := !known && order.Version() <= c.readVersion
+	isOfOlderEra := c.hooks.eraStart(order.Version()) < c.hooks.eraStart(c.readVersion)
+	if !known && m.Withdrawn() || isUnlisted && !isOfOlderEra {
 		return
 	}
 	c.adopt(order, "peer")
@@ -196,6 +200,9 @@
 	if e == nil {
 		return
 	}
+	if isUnlisted {
+		c.hold(e, c.hooks.eraStart(c.readVersion))
+	}
 	// A peer that does not know of a restored store yet states the earlier version of the
 	// order. What it has counted and decided counts; that the store lacks that version does
 	// not.
@@ -204,6 +211,10 @@
 		return
 	}
 	e.rollout.LearnElapsed(c.clock.Now(), m.Elapsed())
+	if e.rollout.LearnProgress(c.clock.Now(), m.Record()) {
+		e.due = rollout.Record{}
+		c.logStep(order.Service(), e, "peer")
+	}
 	if m.Withdrawn() && isPresent {
 		e.heldUntil = time.Time{}
 		e.rollout.Withdraw()
--- a/lib/rollout/rollout.go
+++ b/lib/rollout/rollout.go
@@ -174,10 +174,29 @@
 		r.record.version, r.stale = record.version, r.record.order == r.order.version
 		return true
 	}
+	r.adoptRecord(now, record, renamed)
+	return true
+}
+
+// LearnProgress adopts what a peer knows of the rollout, and what the store has lost: more
+// progress than the known record has. It is written again. It reports whether it was more.
+func (r *Rollout) LearnProgress(now time.Time, record Record) bool {
+	if r.Continues(record.order) {
+		record.order = r.order.version
+	}
+	if record.order != r.order.version || r.record.order == record.order && record.progress() <= r.record.progress() {
+		return false
+	}
+	r.adoptRecord(now, record.WithVersion(r.record.version), true)
+	return true
+}
+
+// adoptRecord replaces the known record. stale is whether the store has another one.
+func (r *Rollout) adoptRecord(now time.Time, record Record, stale bool) {
 	before := r.step()
-	r.record, r.stale = record, renamed
+	r.record, r.stale = record, stale
 	if record.order != r.order.version {
-		return true
+		return
 	}
 	if r.step() != before {
 		r.stepSince = now
@@ -193,7 +212,6 @@
 	case record.step >= firstRamp:
 		r.fire(eventRamp)
 	}
-	return true
 }
 
 // MergeTally replaces the tally of a server by a newer one.
--- a/lib/rollout/rollout_test.go
+++ b/lib/rollout/rollout_test.go
@@ -401,3 +401,19 @@
 	must.Eq(t, rollout.RolledBack, next.Phase())
 	must.Eq(t, oldVersion, next.Previous())
 }
+
+// TestLearnProgress_OfAPeer guards against a node that starts after a restore of the store
+// and begins the rollout again, although a peer knows what the store has lost.
+func TestLearnProgress_OfAPeer(t *testing.T) {
+	w := newWorld(t, 1)
+	w.rollout.MergeRecord(w.now, rollout.NewRecord(3, "v0", oldVersion, rollout.RolledBack, 1, 0).WithVersion(1004))
+	must.False(t, w.rollout.LearnProgress(w.now, rollout.NewRecord(3, "v0", oldVersion, rollout.Complete, 5, 0)), must.Sprint("of another order"))
+	must.True(t, w.rollout.LearnProgress(w.now, rollout.NewRecord(10, newVersion, oldVersion, rollout.Running, 3, 9*time.Second)))
+	must.Eq(t, "ramping", w.rollout.State())
+	must.Eq(t, 9*time.Second, w.rollout.Elapsed(w.now))
+	next := w.rollout.Next(w.now, w.servers()).Record()
+	must.Eq(t, 3, next.Step())
+	must.Eq(t, 1004, next.Version(), must.Sprint("the store has the record of the earlier order"))
+	must.False(t, w.rollout.LearnProgress(w.now, rollout.NewRecord(10, newVersion, oldVersion, rollout.Running, 2, 0)))
+	must.Eq(t, 3, w.rollout.Step())
+}
