rollout: a rollback in the copy of a restored store binds nodes that start later

A node that knew of the rollback only from the copy took the order, which has another version since the restore, for a new one, and rolled the bad version out again. The nodes from before write the record again under that version within a second or two; nodes that all start in that time, or while the store is away, had nothing else to go by.

An order whose place in its era is that of a rolled-back order of an older era, with the same target, is the same write, and is rolled back. One that operators wrote later is not affected.

TestRestoredStore_RollbackIsKnownToLaterNodes fails without the change and passes with it.

--- a/lib/rollout/control/control_test.go
+++ b/lib/rollout/control/control_test.go
@@ -517,3 +517,22 @@
 	must.Eq(t, 5, next.Step())
 	must.Eq(t, "v1", next.Previous())
 }
+
+// TestRestoredStore_RollbackIsKnownToLaterNodes has a node start after a restore, when the
+// copy has an order and the record of its rollback under the version that the order had
+// before. It guards against a bad version that gets requests again because all nodes have
+// restarted, and against an order that operators wrote later and that inherits the rollback.
+func TestRestoredStore_RollbackIsKnownToLaterNodes(t *testing.T) {
+	for version, want := range map[uint64]rollout.Phase{eraSize + 7: rollout.RolledBack, eraSize + 20: rollout.Running} {
+		n := newNode(t, "self")
+		n.controller.SetLocalServer(control.NewPeer("self", "shop", "i-self", "v1", true))
+		n.controller.SetPeers(peers("v1", "v2"))
+		record := rollout.NewRecord(7, "v2", "v1", rollout.RolledBack, 1, time.Second).WithVersion(eraSize + 8)
+		n.controller.Receive(rollout.NewMessage(rollout.NewOrder("shop", "v2", 5*time.Second, version), record, time.Second, false, false))
+		next := <-n.writes
+		must.Eq(t, want, next.Phase(), must.Sprint(version))
+		must.Eq(t, version, next.Order())
+		must.Eq(t, "v1", next.Previous())
+		must.Eq(t, eraSize+8, next.Version())
+	}
+}
--- a/lib/rollout/control/learn.go
+++ b/lib/rollout/control/learn.go
@@ -134,6 +134,9 @@
 	if !r.Adopt(c.records[order.Service()]) {
 		r.MergeRecord(now, c.records[order.Service()])
 	}
+	if c.isRolledBackInCopy(order) {
+		r.RollBack()
+	}
 	c.rollouts[order.Service()] = &entry{rollout: r, inForce: c.own[order.Service()] == order.Target()}
 	if order.Service() == c.local.service {
 		c.tally = rollout.NewTally(c.local.node, c.local.release, c.local.instance)
@@ -142,6 +145,15 @@
 	return true
 }
 
+// isRolledBackInCopy reports whether the copy to which the store was restored has the
+// rollback of an order under the version that the order had in an older era. Its place in
+// the era is the same, as it is the same write.
+func (c *Controller) isRolledBackInCopy(order rollout.Order) bool {
+	r := c.records[order.Service()]
+	before, now := c.hooks.eraStart(r.Order()), c.hooks.eraStart(order.Version())
+	return r.Phase() == rollout.RolledBack && r.Target() == order.Target() && before < now && r.Order()-before == order.Version()-now
+}
+
 // continueWith goes on with a rollout if an order is the same one: that of an older era of
 // the store, which the copy lists or the operators have written again. Operators may write
 // it over that of the copy; removing it first makes it a new one. It reports whether it is
--- a/savorygap-node/internal/pipeline/rollout_restart_test.go
+++ b/savorygap-node/internal/pipeline/rollout_restart_test.go
@@ -120,3 +120,28 @@
 	caller.mustServe(t, 3500*time.Millisecond, time.Second)
 	must.Eq(t, 0, countSent(unnamed), must.Sprint("requests to a version that no order names"))
 }
+
+// TestRestoredStore_RollbackIsKeptByNewNodes returns the store to a copy with a rolled-back
+// order while no node runs, so that none knows the rollback but from the copy, whose order
+// has another version than the record states. It guards against a bad version that is
+// rolled out a second time.
+func TestRestoredStore_RollbackIsKeptByNewNodes(t *testing.T) {
+	cl, old, next, l := rolloutCluster(t, shortService)
+	for _, h := range next {
+		h.server.SetFailures(2, "/")
+	}
+	cl.store.OrderRollout("shop", "v2", 6*time.Second)
+	awaitRollout(t, cl.store, "rolled_back", 6*time.Second)
+	time.Sleep(300 * time.Millisecond)
+	earlier := cl.store.Copy()
+	for _, h := range cl.hosts {
+		h.kill()
+	}
+	l.end()
+	cl.restore(earlier, 0)
+	countSent(next...)
+	cl.restartAll(t)
+	old[1].mustServe(t, time.Second, 2*time.Second)
+	must.Eq(t, 0, countSent(next...), must.Sprint("requests after the rollback"))
+	awaitRollout(t, cl.store, "rolled_back", time.Second)
+}
