--- a/lib/rollout/control/learn.go
+++ b/lib/rollout/control/learn.go
@@ -134,6 +134,9 @@
 	if !r.Adopt(c.records[order.Service()]) {
 		r.MergeRecord(now, c.records[order.Service()])
 	}
+	if c.isRolledBackInCopy(order) {
+		r.RollBack()
+	}
 	c.rollouts[order.Service()] = &entry{rollout: r, inForce: c.own[order.Service()] == order.Target()}
 	if order.Service() == c.local.service {
 		c.tally = rollout.NewTally(c.local.node, c.local.release, c.local.instance)
@@ -142,6 +145,15 @@
 	return true
 }
 
+// isRolledBackInCopy reports whether the copy to which the store was restored has the
+// rollback of an order under the version that the order had in an older era. Its place in
+// the era is the same, as it is the same write.
+func (c *Controller) isRolledBackInCopy(order rollout.Order) bool {
+	r := c.records[order.Service()]
+	before, now := c.hooks.eraStart(r.Order()), c.hooks.eraStart(order.Version())
+	return r.Phase() == rollout.RolledBack && r.Target() == order.Target() && before < now && r.Order()-before == order.Version()-now
+}
+
 // continueWith goes on with a rollout if an order is the same one: that of an older era of
 // the store, which the copy lists or the operators have written again. Operators may write
 // it over that of the copy; removing it first makes it a new one. It reports whether it is
@@ -184,11 +196,15 @@
 }
 
 // receive applies what a peer knows of a rollout. An order that a full read of the store
-// did not list was removed before.
+// did not list was removed before. If it is of an older era the store may have lost it, and
+// it is held as on the peer.
 func (c *Controller) receive(m rollout.Message) {
 	order := m.Order()
 	c.mergeRecord(order.Service(), m.Record(), "peer")
-	if _, known := c.rollouts[order.Service()]; !known && (order.Version() <= c.readVersion || m.Withdrawn()) {
+	_, known := c.rollouts[order.Service()]
+	isUnlisted := !known && order.Version() <= c.readVersion
+	isOfOlderEra := c.hooks.eraStart(order.Version()) < c.hooks.eraStart(c.readVersion)
+	if !known && m.Withdrawn() || isUnlisted && !isOfOlderEra {
 		return
 	}
 	c.adopt(order, "peer")
@@ -196,6 +212,9 @@
 	if e == nil {
 		return
 	}
+	if isUnlisted {
+		c.hold(e, c.hooks.eraStart(c.readVersion))
+	}
 	// A peer that does not know of a restored store yet states the earlier version of the
 	// order. What it has counted and decided counts; that the store lacks that version does
 	// not.
@@ -204,6 +223,10 @@
 		return
 	}
 	e.rollout.LearnElapsed(c.clock.Now(), m.Elapsed())
+	if e.rollout.LearnProgress(c.clock.Now(), m.Record()) {
+		e.due = rollout.Record{}
+		c.logStep(order.Service(), e, "peer")
+	}
 	if m.Withdrawn() && isPresent {
 		e.heldUntil = time.Time{}
 		e.rollout.Withdraw()
