fix(dispatch): an id claims no precedence on anonymous routes

Cause: where the configuration has tenants, an id makes a call nested only if the server on this host runs its parent, but on an anonymous route any id with a dot did. A caller could so go before all others and take the slots that are kept for nested calls. Change: the parent is looked up on anonymous routes too; the call is served in any case. Measured: the case added to TestServe_KeyDecidesWhetherACallIsSent is nested without the change and ordinary with it; go test -race of tenants in ./dispatch passes.

--- a/lib/dispatch/authenticate.go
+++ b/lib/dispatch/authenticate.go
@@ -57,14 +57,16 @@
 }
 
 // authenticate returns the tenant of a call, nil if it needs none, and whether a running
-// request waits for the call. Where API keys are needed, an id alone does not make a call
-// nested: any caller could claim the precedence of nested calls by its id.
+// request waits for the call. Where the configuration has tenants, an id alone does not make a
+// call nested: any caller could claim the precedence of nested calls by its id.
 func (r *Router) authenticate(config *routeconfig.Config, route *routeconfig.Route, c Call) (tenant *routeconfig.Tenant, nested bool, err error) {
-	if !config.HasTenants() || route.Anonymous() {
+	if !config.HasTenants() {
 		return nil, c.nested, nil
 	}
 	nested = c.nested && r.config.tenants.parentRuns(c.request.ID())
 	switch {
+	case route.Anonymous():
+		return nil, nested, nil
 	case c.apiKey != "":
 		tenant, ok := config.TenantByKey(c.apiKey)
 		if !ok {
--- a/lib/dispatch/authenticate_test.go
+++ b/lib/dispatch/authenticate_test.go
@@ -92,6 +92,8 @@
 		"unknown route":                      {"/gone/1", "id", "key-9", 404, "", 0, false},
 		"anonymous route":                    {"/open/1", "id", "", 200, "", 4, false},
 		"anonymous route, unknown key":       {"/open/1", "id", "key-9", 200, "", 4, false},
+		"anonymous route, nested id":         {"/open/1", "gone.1", "", 200, "", 4, false},
+		"anonymous route, nested call":       {"/open/1", "running.1", "", 200, "", 4, true},
 		"nested call of a running request":   {"/read/1", "running.1", "", 200, "", 4, true},
 		"nested call of an unknown request":  {"/read/1", "gone.1", "", 503, "", 0, false},
 		"nested id with a valid key":         {"/read/1", "gone.1", "key-1", 200, "choir", 0, false},
