fix(quota): a second owner lasts no longer than it is asked

Cause: a node that had lost its link to the owner took one question of another node as proof that the owner is gone. Two such nodes made a second owner, which went on after one of them had its link back. Random histories now lose single links, on one side later than on the other, and remove and add the tenant.

--- a/lib/quota/incidents_test.go
+++ b/lib/quota/incidents_test.go
@@ -133,3 +133,25 @@
 		})
 	}
 }
+
+// loseLink has two nodes lose the link between them, one of them later than the other, until
+// they have a new one.
+func (s *fleetSim) loseLink(a, b *simNode, d time.Duration) {
+	if a == b || !b.alive || b.cut {
+		return
+	}
+	a.setLinked(b, false)
+	s.after(s.between(0, min(d, 6*time.Second)), func() { b.setLinked(a, false) })
+	s.link(a, b, d+s.between(10*time.Millisecond, time.Second))
+}
+
+// removeTenants brings a configuration without limits into force on each node for a while, at a
+// time of its own within 2.5 s.
+func (s *fleetSim) removeTenants(d time.Duration) {
+	for _, n := range s.nodes {
+		s.after(s.between(0, 2500*time.Millisecond), n.inEra(func() {
+			n.configure(nil)
+			s.after(d, n.inEra(func() { n.configure(s.limits) }))
+		}))
+	}
+}
--- a/lib/quota/owner.go
+++ b/lib/quota/owner.go
@@ -9,6 +9,9 @@
 	// startAge is how long after its first configuration a process counts as just
 	// started. Links to all members are up by then.
 	startAge = 3 * time.Second
+	// askedPeriod is how long a question of another node shows that it takes this node for the
+	// owner. A node with requests asks at least once in the lifetime of its credits.
+	askedPeriod = 2 * creditLifetime
 	// batchShare is the fraction of the tokens left that one question may take beyond the
 	// requests that wait, so that the first to ask does not leave the others without.
 	batchShare = 0.25
@@ -42,11 +45,12 @@
 	isYoung bool
 	// removedAt is when the tenant was removed, zero while it has a limit.
 	removedAt time.Time
-	// rival reports that the owner before this one may still be at work. Until another node asks,
-	// which has lost its link to that owner too, the bucket holds no more than the fallback of
-	// this node. rivalLostAt is when the link was lost.
+	// rival reports that the owner before this one may still be at work. Unless another node has
+	// lately asked, which has lost its link to that owner too, the bucket holds no more than the
+	// fallback of this node. rivalLostAt is when the link was lost.
 	rival       bool
 	rivalLostAt time.Time
+	askedUntil  time.Time
 }
 
 // NewOwner returns an owner without limits.
@@ -95,7 +99,7 @@
 // size sets the rate and the capacity of a bucket for a share of the members.
 func (o *Owner) size(now time.Time, b *ownedBucket, l Limit, share float64) {
 	b.limit, b.share = l, share
-	if !b.rival {
+	if !b.rival || now.Before(b.askedUntil) {
 		b.bucket.Reconfigure(now, share*l.rate, max(share*o.bounds.Capacity(l), 1))
 		return
 	}
@@ -178,8 +182,10 @@
 		b = o.newBucket(now, v, l)
 		o.buckets[q.tenant] = b
 	}
+	if !isOwn {
+		b.askedUntil = now.Add(askedPeriod)
+	}
 	if b.rival {
-		b.rival = isOwn
 		o.size(now, b, b.limit, b.share)
 	}
 	if q.moved && b.isYoung {
--- a/lib/quota/property_test.go
+++ b/lib/quota/property_test.go
@@ -39,7 +39,7 @@
 func addIncidents(t *rapid.T, s *fleetSim) {
 	for range rapid.IntRange(0, maxIncidents).Draw(t, "incidents") {
 		at := time.Duration(rapid.IntRange(0, 22000).Draw(t, "at")) * time.Millisecond
-		kind := rapid.SampledFrom([]string{"cut", "kill", "killAll", "join", "leave", "stop"}).Draw(t, "kind")
+		kind := rapid.SampledFrom([]string{"cut", "kill", "killAll", "join", "leave", "stop", "link", "remove"}).Draw(t, "kind")
 		count := rapid.IntRange(1, max(1, len(s.nodes)*35/100)).Draw(t, "count")
 		first := rapid.IntRange(0, len(s.nodes)-1).Draw(t, "first")
 		d := time.Duration(rapid.IntRange(300, 12000).Draw(t, "lasts")) * time.Millisecond
@@ -56,6 +56,14 @@
 		}
 		return
 	}
+	switch kind {
+	case "remove":
+		s.removeTenants(min(d, time.Second))
+		return
+	case "link":
+		s.loseLink(s.nodes[first%len(s.nodes)], s.nodes[(first+count)%len(s.nodes)], d)
+		return
+	}
 	for i := range count {
 		n := s.nodes[(first+i)%len(s.nodes)]
 		switch {
