fix(dispatch): ask suspected servers when the others are full

A server that does not reply within 4 ms of the first offer counts as suspected for 300 ms and was asked only if there was no other server at all. Beside load one late reply is usual, so requests were refused although that server had free slots. Traced in a red run of TestSilentNode_LosesNoRunningWork ("did not run", line 112): seven orders took the slots of the other server and the eighth got 503 after 303 ms ("no place"), while the first server had all of its ten slots free.

Up to four suspected servers are now asked, in the same search, once all others have refused or queued the request. If they do not reply within 40 ms they are dropped, so a refusal comes at most that much later.

--- a/lib/dispatch/candidates.go
+++ b/lib/dispatch/candidates.go
@@ -11,7 +11,8 @@
 
 // candidates returns the servers to ask for a slot: all servers of a small
 // service, a sample of a large one, those here first if others are far. Suspected
-// servers are asked only when there is no other. latency is the usual latency of the
+// servers are asked only when no other has a slot: one reply that comes late beside load
+// makes a server suspected, and it may be the only one that is not full. latency is the usual latency of the
 // route; release is the version of the servers, "" for any.
 func (r *Router) candidates(service string, latency time.Duration, exclude []string, release string) []candidate {
 	now := r.clock.Now()
@@ -26,10 +27,11 @@
 		}
 	}
 	if len(usable) == 0 {
-		usable = suspected
+		usable, suspected = suspected, nil
 	}
 	if selected, ok := r.candidatesByDistance(now, service, latency, usable); ok {
-		return selected
+		suspected = slices.DeleteFunc(suspected, func(s *server) bool { return s.dataCentre != r.config.dataCentre })
+		return r.appendSuspected(now, selected, suspected)
 	}
 	if len(usable) > maxUnsampled {
 		usable = r.sampleServers(now, usable)
@@ -38,7 +40,18 @@
 	for _, s := range usable {
 		selected = append(selected, r.newCandidate(now, s))
 	}
-	return selected
+	return r.appendSuspected(now, selected, suspected)
+}
+
+// appendSuspected adds suspected servers to the candidates, for the case that no other has a
+// slot.
+func (r *Router) appendSuspected(now time.Time, candidates []candidate, suspected []*server) []candidate {
+	for _, s := range pickRandom(suspected, overflowSize) {
+		c := r.newCandidate(now, s)
+		c.overflow, c.suspected = true, true
+		candidates = append(candidates, c)
+	}
+	return candidates
 }
 
 // sampleServers selects servers of a large service: half of the sample has the
--- a/lib/dispatch/dispatch_test.go
+++ b/lib/dispatch/dispatch_test.go
@@ -31,6 +31,7 @@
 	cost         float64
 	refusal      string
 	queue        bool
+	mute         bool // whether slot requests get no reply
 	finalEvent   func(number uint64) upstream.Event
 	slotRequests chan upstream.SlotRequest
 	submitted    chan *upstream.Request
@@ -51,6 +52,7 @@
 	s.endpoint = upstream.NewEndpoint(node, func(number uint64, r upstream.SlotRequest, events chan<- upstream.Event) {
 		s.slotRequests <- r
 		switch {
+		case s.mute:
 		case s.refusal != "":
 			events <- upstream.NewEvent(upstream.Refused, number).WithEndpoint(s.endpoint).WithReason(s.refusal).WithRetryAfter(70 * time.Millisecond)
 		case s.queue:
--- a/lib/dispatch/messages.go
+++ b/lib/dispatch/messages.go
@@ -110,7 +110,8 @@
 	distanceFactor float64
 	dataCentre     string        // "" for this node's own, or if distances do not matter
 	far            bool          // in a far data centre, while there are servers here
-	overflow       bool          // asked only if nothing here is free
+	suspected      bool          // did not reply in time recently, while others do
+	overflow       bool          // asked only if nothing else is free
 	roundTrip      time.Duration // of a far server
 	replyWithin    time.Duration // how long its reply is waited for after an offer, 0 for offerWindow
 	extraCost      float64       // added to what it offers
--- a/lib/dispatch/overflow.go
+++ b/lib/dispatch/overflow.go
@@ -18,7 +18,7 @@
 }
 
 // askAll asks the candidates, except those that are kept for the case that nothing is
-// free here.
+// free at the others.
 func (s *slotSearch) askAll(candidates []candidate, request upstream.SlotRequest) {
 	for _, c := range candidates {
 		if c.overflow {
@@ -29,7 +29,7 @@
 	}
 }
 
-// askOverflow asks the far servers, once, when all servers here have refused the request
+// askOverflow asks the far and the suspected servers, once, when all servers here have refused the request
 // or have only queued it, and reports whether it did. Servers here that have queued the
 // request go on. Nothing is asked if the request could not end in time there.
 func (s *slotSearch) askOverflow(request upstream.SlotRequest) bool {
@@ -44,12 +44,23 @@
 		if request.TimeLeft() == 0 || left > c.roundTrip+request.ExpectedLatency() {
 			s.ask(c, request)
 			asked = true
+			s.overflowed = s.overflowed || c.far
 		}
 	}
-	s.overflowed = s.overflowed || asked
 	return asked
 }
 
+// dropSuspected gives up on suspected servers that have not replied within replyTimeout, so
+// that a refusal does not wait for them any longer.
+func (s *slotSearch) dropSuspected() {
+	for number, c := range s.pending {
+		if c.suspected && !s.replied[number] {
+			c.endpoint.Withdraw(number)
+			delete(s.pending, number)
+		}
+	}
+}
+
 // offerWait returns how long to wait for further offers after the first one. It is longer
 // than offerWindow only if far servers were asked because servers here are worse, or if a
 // round trip is not known yet.
--- a/lib/dispatch/reserve.go
+++ b/lib/dispatch/reserve.go
@@ -56,7 +56,7 @@
 	reason       string
 	retryAfter   time.Duration
 	latestStart  func() (time.Time, bool) // see pendingCall.latestStart
-	overflow     []candidate              // far servers that were not asked yet
+	overflow     []candidate              // far and suspected servers that were not asked yet
 	askedFar     bool
 	overflowed   bool
 	final        bool // servers agree that no other is worth asking
@@ -200,6 +200,7 @@
 			}
 		case <-replyTimer.Chan():
 			s.reportUnresponsive()
+			s.dropSuspected()
 			if len(s.offers) > 0 {
 				return s.cheapest(), true
 			}
