rollout: begin although the record of the last order is lost

A rollout did not begin, and was never complete, if the store had lost the record of the service's last order: every node expected that record in its first write, was refused each 400 ms and learned of the loss by no watch; only the node whose watch saw it knew, and took the record again from its peers.

Before its first record, a rollout whose write was refused now expects in turn the known record and none. The store's compare-and-swap keeps this safe: a write that expects none succeeds only if there is none. Later records are not concerned: nodes that know of the loss write them again.

--- a/lib/rollout/control/act.go
+++ b/lib/rollout/control/act.go
@@ -90,6 +90,9 @@
 	if e.writing || now.Before(e.retryAt) || now.Sub(e.dueSince) < rollout.Turn(c.config.node, c.peerNodes(), service, next) {
 		return
 	}
+	if e.absent {
+		next = next.WithVersion(0)
+	}
 	e.writing = true
 	go c.write(ctx, service, next)
 }
@@ -119,6 +122,7 @@
 		}
 	case errors.As(w.err, &conflict):
 		e.retryAt = now.Add(conflictDelay)
+		e.absent = !e.absent && isFirst(e)
 		c.log.Write("rollout-write-refused", "service", w.service, "step", w.next.Step(), "phase", w.next.Phase().String(), "error", w.err.Error())
 	default:
 		e.retryAt = now.Add(failureDelay)
@@ -126,6 +130,15 @@
 	}
 }
 
+// isFirst reports whether the order has no record yet. The one of an earlier order may be
+// missing in the store, since it was lost or the store was restored; a node that did not
+// read the store at that time learns it by no watch. Later records are written again by the
+// nodes that know of the loss.
+func isFirst(e *entry) bool {
+	known := e.rollout.Record()
+	return known.Version() > 0 && known.Order() != e.rollout.Order().Version()
+}
+
 func (c *Controller) peerNodes() []string {
 	nodes := make([]string, 0, len(c.peers))
 	for _, p := range c.peers {
--- a/lib/rollout/control/control.go
+++ b/lib/rollout/control/control.go
@@ -172,6 +172,7 @@
 	due      rollout.Record // the record that is due
 	dueSince time.Time
 	retryAt  time.Time
+	absent   bool // whether the next write of a first record expects that the store has none
 }
 
 // New returns a controller.
--- a/lib/rollout/control/control_test.go
+++ b/lib/rollout/control/control_test.go
@@ -165,6 +165,30 @@
 	must.Eq(t, 21, again.Version())
 }
 
+// TestOrder_BeginsAlthoughTheRecordOfTheLastOneIsLost has the store lose the record of an
+// earlier order, of which this node does not hear. It guards against a rollout that never
+// begins because every write expects that record, and against one that takes the place of a
+// record that the store has.
+func TestOrder_BeginsAlthoughTheRecordOfTheLastOneIsLost(t *testing.T) {
+	n := newNode(t, "self")
+	n.controller.SetLocalServer(control.NewPeer("self", "shop", "i-self", "v1", true))
+	n.controller.SetPeers(peers("v1", "v2"))
+	earlier := registry.NewRecord(registry.KindRollout, "shop", []byte("20")).WithVersion(22)
+	n.controller.ApplyUpdate(registry.NewUpdate([]registry.Record{earlier, order(30)}, 30, true))
+	conflict := registry.NewConflictError(registry.NewRecord(registry.KindRollout, "shop", nil))
+	for _, expected := range []uint64{22, 0, 22, 0} {
+		next := <-n.writes
+		must.Eq(t, expected, next.Version())
+		must.Eq(t, 30, next.Order())
+		n.results <- conflict
+	}
+	must.Eq(t, 22, (<-n.writes).Version())
+	n.results <- conflict
+	must.Eq(t, 0, (<-n.writes).Version())
+	n.results <- nil
+	n.awaitShare(t, 0.04)
+}
+
 // TestOrder_RemovalEndsTheRollout guards against a rollout that goes on after its order was
 // removed, as a watch or a full read tells, and one that a peer which missed that revives.
 func TestOrder_RemovalEndsTheRollout(t *testing.T) {
--- a/lib/rollout/control/learn.go
+++ b/lib/rollout/control/learn.go
@@ -78,7 +78,7 @@
 	c.records[service] = record
 	if e, ok := c.rollouts[service]; ok {
 		e.rollout.MergeRecord(c.clock.Now(), record)
-		e.due = rollout.Record{}
+		e.due, e.absent = rollout.Record{}, false
 		c.logStep(service, e, source)
 	}
 	return true
