--- a/lib/rollout/control/control.go
+++ b/lib/rollout/control/control.go
@@ -191,6 +191,7 @@
 	// carriedUntil is until when an equal order counts as the same one, since the present
 	// one may come from the copy to which the store was restored.
 	carriedUntil time.Time
+	absent       bool // whether the next write of a first record expects that the store has none
 }
 
 // isHeld reports whether the store has lost the order.
