--- a/lib/fleet/encoding.go
+++ b/lib/fleet/encoding.go
@@ -20,7 +20,8 @@
 
 // EncodeMember encodes a member as a record.
 func EncodeMember(m Member) (registry.Record, error) {
-	text, err := json.Marshal(memberForm{Address: m.address, DataCentre: m.dataCentre, Service: m.service, Read: m.readVersion, Instance: m.instance, Release: m.release})
+	instance, release := m.Server()
+	text, err := json.Marshal(memberForm{Address: m.address, DataCentre: m.dataCentre, Service: m.service, Read: m.readVersion, Instance: instance, Release: release})
 	if err != nil {
 		return registry.Record{}, fmt.Errorf("encode the entry of node %q: %w", m.node, err)
 	}
--- a/lib/fleet/era.go
+++ b/lib/fleet/era.go
@@ -137,7 +137,7 @@
 func (f *Fleet) requestEntry(p *peerLink) {
 	m := f.members[p.hello.Node()]
 	instance, release := p.serverState.Instance(), p.serverState.Release()
-	lacksServer := release != "" && (m.instance != instance || m.release != release)
+	lacksServer := release != "" && !m.states(instance, release)
 	if m.version == 0 || m.address != p.hello.Address() || m.dataCentre != p.hello.DataCentre() || lacksServer {
 		p.link.SendSignal(link.EntryLost)
 	}
--- a/lib/fleet/member.go
+++ b/lib/fleet/member.go
@@ -17,8 +17,13 @@
 	bandwidth   float64
 	readVersion uint64
 	version     uint64
-	instance    string
-	release     string
+	server      *statedServer // nil without rollouts
+}
+
+// statedServer is the instance of the server on a node's host and its version.
+type statedServer struct {
+	instance string
+	release  string
 }
 
 // NewMember returns a member that accepts links at address.
@@ -43,7 +48,10 @@
 // WithServer returns the member with the instance of the server on the node's host and its
 // version, which the node states where rollouts are followed.
 func (m Member) WithServer(instance, release string) Member {
-	m.instance, m.release = instance, release
+	m.server = nil
+	if release != "" {
+		m.server = &statedServer{instance: instance, release: release}
+	}
 	return m
 }
 
@@ -55,7 +63,14 @@
 
 // hasServerOf reports whether an entry states the same server as another.
 func (m Member) hasServerOf(other Member) bool {
-	return m.instance == other.instance && m.release == other.release
+	instance, release := other.Server()
+	return m.states(instance, release)
+}
+
+// states reports whether the entry states a server.
+func (m Member) states(instance, release string) bool {
+	ownInstance, ownRelease := m.Server()
+	return ownInstance == instance && ownRelease == release
 }
 
 // Node returns the name of the node.
@@ -72,7 +87,12 @@
 
 // Server returns the instance of the server on the node's host that last announced its
 // version to the node, and that version, "" for none.
-func (m Member) Server() (instance, release string) { return m.instance, m.release }
+func (m Member) Server() (instance, release string) {
+	if m.server == nil {
+		return "", ""
+	}
+	return m.server.instance, m.server.release
+}
 
 // Peer is a node to which this node has a link.
 type Peer struct {
--- a/lib/fleet/rollouts.go
+++ b/lib/fleet/rollouts.go
@@ -34,7 +34,7 @@
 func (f *Fleet) recallServer(entry Member) {
 	if instance, release := entry.Server(); release != "" && entry.service == f.self.service {
 		f.hooks.rollouts.server(instance, release)
-		if f.self.release == "" {
+		if f.self.server == nil {
 			f.self = f.self.WithServer(instance, release)
 		}
 	}
@@ -43,7 +43,7 @@
 // recordServer writes the entry of this node again if the server on its host has announced
 // a version that the entry does not state. The next process of the node reads it there.
 func (f *Fleet) recordServer(s link.ServerState) {
-	if s.Release() == "" || s.Release() == f.self.release && s.Instance() == f.self.instance {
+	if s.Release() == "" || f.self.states(s.Instance(), s.Release()) {
 		return
 	}
 	f.self = f.self.WithServer(s.Instance(), s.Release())
--- a/lib/serverproxy/messages.go
+++ b/lib/serverproxy/messages.go
@@ -139,7 +139,7 @@
 	case m.admission != nil:
 		p.setAdmission(*m.admission)
 	case m.recalled != nil:
-		p.recalled = *m.recalled
+		p.recalled = m.recalled
 	case m.stop != nil:
 		p.handleStop(*m.stop)
 	case m.runQuery != nil:
--- a/lib/serverproxy/proxy.go
+++ b/lib/serverproxy/proxy.go
@@ -113,7 +113,7 @@
 	observer  Observer
 	published ServerState
 	admission rollout.Admission
-	recalled  recalledServer
+	recalled  *recalledServer // nil without rollouts
 }
 
 // Observer receives measurements through its function fields.
--- a/lib/serverproxy/versions.go
+++ b/lib/serverproxy/versions.go
@@ -80,7 +80,7 @@
 	switch {
 	case p.announced:
 		return p.latest.release
-	case p.instance != "" && p.instance == p.recalled.instance:
+	case p.recalled != nil && p.instance != "" && p.instance == p.recalled.instance:
 		return p.recalled.release
 	}
 	return ""
