fix(quarantine): decide for the request that a cleared neighbour leaves

A node that has seen no answer to a popular request counts an end against it, and learns a moment later that it had just been finished. With the rule for ambiguous requests it then held neither that one nor the deadly one beside it, while the entry nodes held the latter.

When a request is cleared within 400 ms of the last end, the only one that is left of the same ends is held. A request that is finished later, in its trial, decides nothing: the others are on trial too and may be innocent.

The new test of lib/quarantine covers both, and a third neighbour.

--- a/lib/dispatch/trial.go
+++ b/lib/dispatch/trial.go
@@ -11,11 +11,6 @@
 	"savorygap.example/lib/task"
 )
 
-// trialDelay is how long after the last end of a server an ambiguous request is sent again.
-// Attempts that were under way by then have ended and are known: deadly requests ended their
-// servers within 110 ms (docs/incidents/2026-12-05-deadly.md), and nodes know within 250 ms.
-const trialDelay = 400 * time.Millisecond
-
 // isAmbiguous reports whether servers have ended under the request, and nothing tells it from
 // others that were at work there.
 func (p *pendingCall) isAmbiguous() bool {
@@ -57,7 +52,7 @@
 func (p *pendingCall) awaitTrial(ctx context.Context) bool {
 	for {
 		since, ambiguous := p.ambiguousSince()
-		wait := trialDelay - p.router.clock.Since(since)
+		wait := quarantine.TrialDelay - p.router.clock.Since(since)
 		if !ambiguous || wait <= 0 {
 			return !p.isHeld()
 		}
--- a/lib/quarantine/quarantine.go
+++ b/lib/quarantine/quarantine.go
@@ -22,6 +22,11 @@
 	endsUntilAllHeld = 3
 	// SuspicionTTL is how long the end of a server counts without another one.
 	SuspicionTTL = time.Minute
+	// TrialDelay is how long after the last end of a server an ambiguous request is sent again.
+	// Attempts that were under way by then have ended and are known: deadly requests ended
+	// their servers within 110 ms (docs/incidents/2026-12-05-deadly.md), and nodes know within
+	// 250 ms. A request that is cleared before that was finished before the end.
+	TrialDelay = 400 * time.Millisecond
 	// holdDuration is how long a request is held. After that, the next end holds it again.
 	holdDuration = 5 * time.Minute
 	// recentSuccess is how long after a server finished a request an end is no evidence
@@ -90,7 +95,8 @@
 			}
 		case Cleared:
 			// The report that is refuted may arrive after this.
-			l.recordSuccess(now, r.fingerprint, false)
+			_, decided := l.recordSuccess(now, r.fingerprint, false)
+			held = append(held, decided...)
 		}
 	}
 	return append(held, l.recordEnds(now, ended)...), refuted
@@ -221,22 +227,56 @@
 // RecordSuccess records that a server has finished a request. It reports whether the
 // request was suspected until then.
 func (l *Ledger) RecordSuccess(now time.Time, f Fingerprint) bool {
-	return l.recordSuccess(now, f, true)
+	cleared, _ := l.recordSuccess(now, f, true)
+	return cleared
 }
 
-func (l *Ledger) recordSuccess(now time.Time, f Fingerprint, seen bool) bool {
+// recordSuccess also returns the requests that are held now that this one is cleared.
+func (l *Ledger) recordSuccess(now time.Time, f Fingerprint, seen bool) (cleared bool, held []Fingerprint) {
 	l.successes[f%successSlots] = success{fingerprint: f, at: now.UnixNano(), seen: seen}
-	return l.clear(f)
-}
-
-func (l *Ledger) clear(f Fingerprint) bool {
 	s, ok := l.suspects[f]
 	if !ok {
-		return false
+		return false, nil
 	}
-	s.fire(eventClear)
+	l.clear(f)
+	return true, l.decideWithout(now, s)
+}
+
+func (l *Ledger) clear(f Fingerprint) {
+	l.suspects[f].fire(eventClear)
 	delete(l.suspects, f)
-	return true
+}
+
+// decideWithout holds the ambiguous requests that only one which has been cleared made so. A
+// node that has seen no answer to a popular request learns only after the report of an end
+// that it had just been finished. One that is finished later, in its trial, decides
+// nothing: the others are on trial too, and may be innocent.
+func (l *Ledger) decideWithout(now time.Time, cleared *suspect) (held []Fingerprint) {
+	for f, s := range l.suspects {
+		if s.ends < endsUntilHeld || s.isHeld(now) || now.Sub(s.lastEndAt) > TrialDelay || !s.stoodBeside(cleared) || l.hasRival(s) {
+			continue
+		}
+		if l.hold(now, f, now.Add(holdDuration)) {
+			held = append(held, f)
+		}
+	}
+	return held
+}
+
+// hasRival reports whether another request, under which as many servers have ended, stood
+// beside the last end.
+func (l *Ledger) hasRival(s *suspect) bool {
+	for _, other := range l.suspects {
+		if other != s && other.ends >= s.ends && slices.Contains(other.reports, s.reports[len(s.reports)-1]) {
+			return true
+		}
+	}
+	return false
+}
+
+// stoodBeside reports whether a server ended under both requests.
+func (s *suspect) stoodBeside(other *suspect) bool {
+	return slices.ContainsFunc(s.reports, func(n uint64) bool { return slices.Contains(other.reports, n) })
 }
 
 // Held returns the requests that are held, and until when.
--- a/lib/quarantine/quarantine_test.go
+++ b/lib/quarantine/quarantine_test.go
@@ -162,6 +162,35 @@
 	must.True(t, isHeld(l, now, neighbour))
 }
 
+// TestApply_ClearedNeighbourLeavesTheDeadlyRequest guards against a request that the nodes
+// which have seen its neighbour finished hold, and the others do not: a node that starts may
+// be linked to one of the others first, and then ends another server.
+func TestApply_ClearedNeighbourLeavesTheDeadlyRequest(t *testing.T) {
+	for _, c := range []struct {
+		struck    []quarantine.Fingerprint
+		clearedIn time.Duration
+		want      bool
+	}{
+		{[]quarantine.Fingerprint{7, 8}, 50 * time.Millisecond, true},
+		{[]quarantine.Fingerprint{7, 8}, time.Second, false}, // in its trial
+		{[]quarantine.Fingerprint{7, 8, 9}, 50 * time.Millisecond, false},
+	} {
+		l, now := newLedger(t), time.Unix(1000, 0)
+		for range 2 {
+			l.Apply(now, quarantine.Struck(c.struck))
+		}
+		now = now.Add(c.clearedIn)
+		held, _ := l.Apply(now, []quarantine.Record{quarantine.NewRecord(8, quarantine.Cleared, 0)})
+		must.Eq(t, c.want, len(held) == 1, must.Sprint(c))
+		must.Eq(t, c.want, isHeld(l, now, 7), must.Sprint(c))
+		_, ambiguous := l.Ambiguous(now)[7]
+		must.Eq(t, c.want, !ambiguous, must.Sprint(c))
+		must.False(t, isHeld(l, now, 8))
+		l.RecordSuccess(now, 9)
+		must.Eq(t, c.clearedIn < time.Second, isHeld(l, now, 7), must.Sprint(c))
+	}
+}
+
 // TestApply_DeadlyRequestIsHeldByTheThirdEnd has random neighbours stand beside a deadly
 // request. Any order in which the nodes learn of the ends must bound them alike.
 func TestApply_DeadlyRequestIsHeldByTheThirdEnd(t *testing.T) {
