fix(serverproxy): report the end of a server once, with all that it was at work on

The end was reported with the first lost connections. That this is the cause is by reading, not by a trace.

The report now waits until no request is at work at the instance, 30 ms at most.

The new test fails if the report is made at once.

--- a/lib/serverproxy/instance.go
+++ b/lib/serverproxy/instance.go
@@ -43,7 +43,7 @@
 // announcement.
 func (p *Proxy) switchInstance(a Announcement) {
 	before := p.instance
-	p.recordEnd(p.clock.Now())
+	p.recordReplacement(p.clock.Now())
 	p.latest = a
 	p.instance = a.id
 	p.service, _ = p.lookupService(a.service)
@@ -163,7 +163,7 @@
 // it announced itself to this node, for example after this node restarted.
 func (p *Proxy) discoverInstance(instance string) {
 	p.log.Write("server-met", "instance", instance, "before", p.instance)
-	p.recordEnd(p.clock.Now())
+	p.recordReplacement(p.clock.Now())
 	p.instance = instance
 	p.announced = false
 	p.fireIfAccepted(eventAnnounced)
--- a/lib/serverproxy/losses.go
+++ b/lib/serverproxy/losses.go
@@ -20,6 +20,10 @@
 	lossWindow = time.Second
 	// maxLosses bounds the requests that are remembered.
 	maxLosses = 256
+	// gatherTime is how long the report of an end waits for the loss of further requests that
+	// the instance was at work on. All connections of a process end together; requests that
+	// are reported apart cannot be told from each other by what stood beside them.
+	gatherTime = 30 * time.Millisecond
 	// probeTimeout bounds the connection that shows whether the server has ended. On this
 	// host, the system accepts or refuses it at once, also while the server is busy.
 	probeTimeout = 250 * time.Millisecond
@@ -41,7 +45,9 @@
 	waiting []lostRequest
 	probed  int
 	probing bool
-	slot    limiter.Key // kept while a probe is under way, so that its connection is within the limit
+	// reportAt is when the end of the instance is reported, zero if it has not ended.
+	reportAt time.Time
+	slot     limiter.Key // kept while a probe is under way, so that its connection is within the limit
 }
 
 // lostRequest is a request whose connection was lost and whose sender awaits the verdict.
@@ -152,7 +158,7 @@
 	p.health.lastCheck = time.Time{}
 	p.health.checkIfDue(now, p)
 	if now.Sub(p.losses.endedAt) < lossWindow && !p.admits() {
-		p.reportEnd(now)
+		p.scheduleReport(now)
 	}
 	before := p.losses.probing
 	p.startProbe(ctx)
@@ -163,12 +169,34 @@
 	p.slotLimiter.Release(key)
 }
 
-// recordEnd records that the server refuses connections or was replaced.
+// recordEnd records that the server refuses connections.
 func (p *Proxy) recordEnd(now time.Time) {
+	p.losses.endedAt = now
+	p.scheduleReport(now)
+}
+
+// recordReplacement records that another instance has taken the place of this one.
+func (p *Proxy) recordReplacement(now time.Time) {
 	p.losses.endedAt = now
 	p.reportEnd(now)
 }
 
+// scheduleReport reports the end of the instance when all requests that it was at work on
+// are lost, or after gatherTime.
+func (p *Proxy) scheduleReport(now time.Time) {
+	if p.losses.reportAt.IsZero() {
+		p.losses.reportAt = now.Add(gatherTime)
+	}
+	p.reportIfGathered(now)
+}
+
+// reportIfGathered reports the end of the instance if that is due.
+func (p *Proxy) reportIfGathered(now time.Time) {
+	if !p.losses.reportAt.IsZero() && (len(p.forwarded) == 0 || !now.Before(p.losses.reportAt)) {
+		p.reportEnd(now)
+	}
+}
+
 // reportEnd passes on what the instance was at work on when it ended. Connections that an
 // instance closes when it leaves say nothing.
 func (p *Proxy) reportEnd(now time.Time) {
@@ -179,6 +207,7 @@
 		}
 	}
 	waiting := p.losses.waiting
+	p.losses.reportAt = time.Time{}
 	p.losses.losses, p.losses.waiting, p.losses.probed = p.losses.losses[:0], nil, 0
 	if len(lost) == 0 || !p.reportsEnds() {
 		settle(waiting)
--- a/lib/serverproxy/losses_test.go
+++ b/lib/serverproxy/losses_test.go
@@ -143,3 +143,24 @@
 	must.Eq(t, upstream.Unknown, (<-events).Kind())
 	must.Eq(t, 1, offers())
 }
+
+// TestEnd_IsOneReport guards against requests under which a server has ended that are
+// reported apart: those whose connections are lost last are not seen beside the first then.
+func TestEnd_IsOneReport(t *testing.T) {
+	r := newOpenRig(t)
+	first, second := r.mustOffer(1), r.mustOffer(2)
+	r.submit(1, "id-1", time.Hour)
+	<-r.server.requests
+	r.submit(2, "id-2", time.Hour)
+	<-r.server.requests
+	r.server.refuse.Store(true)
+	r.server.answers <- closeConnection
+	for len(first)+len(second) == 0 {
+		r.settle()
+	}
+	r.run(tick)
+	must.Eq(t, 0, len(r.ended))
+	r.server.answers <- closeConnection
+	must.Len(t, 2, <-r.ended)
+	must.Eq(t, 0, len(r.ended))
+}
--- a/lib/serverproxy/proxy.go
+++ b/lib/serverproxy/proxy.go
@@ -282,6 +282,7 @@
 	p.lastTickAt = now
 	p.refuseOutliving(now)
 	p.judgeRunning(now)
+	p.reportIfGathered(now)
 	p.advanceQueue(now)
 	p.health.checkIfDue(now, p)
 	p.logSendRate(now)
--- a/lib/serverproxy/requests.go
+++ b/lib/serverproxy/requests.go
@@ -210,6 +210,7 @@
 		p.awaitVerdict(m)
 		p.recordLoss(ctx, now, m.key, r.request)
 	}
+	p.reportIfGathered(now)
 	p.endFinished(m)
 	p.logRequest(now, r, m.result, cancelled)
 	p.advanceQueue(now)
