--- a/lib/dispatch/candidates.go
+++ b/lib/dispatch/candidates.go
@@ -11,9 +11,9 @@
 
 // candidates returns the servers to ask for a slot: all servers of a small
 // service, a sample of a large one, those here first if others are far. Suspected
-// servers are asked only when no other has a slot: one reply that comes late beside load
-// makes a server suspected, and it may be the only one that is not full. latency is the usual latency of the
-// route; release is the version of the servers, "" for any.
+// servers are asked only when no other has a slot: one late reply makes a server
+// suspected, and it may be the only one that is not full. latency is the usual
+// latency of the route; release is the version of the servers, "" for any.
 func (r *Router) candidates(service string, latency time.Duration, exclude []string, release string) []candidate {
 	now := r.clock.Now()
 	var usable, suspected []*server
--- a/lib/dispatch/hedge.go
+++ b/lib/dispatch/hedge.go
@@ -40,9 +40,9 @@
 // An idempotent request is hedged, that is, sent to a second server as well,
 // when its server slows down, the node next to it falls silent, or it takes much
 // longer than the mean; the first success counts and the other attempt is
-// cancelled. A request whose connection was lost is not hedged while the verdict on its
-// server is awaited, unless the node falls silent. Any other request waits for its response until its time is over: a
-// silent node may only be paused.
+// cancelled. A request whose connection was lost is not hedged while the verdict
+// on its server is awaited, unless the node falls silent. Any other request waits
+// for its response until its time is over: a silent node may only be paused.
 func (p *pendingCall) execute(ctx context.Context, o offer) upstream.Event {
 	p.node, p.cost = o.event.Endpoint().Node(), o.event.Cost()
 	started := p.router.clock.Now()
--- a/lib/dispatch/overflow.go
+++ b/lib/dispatch/overflow.go
@@ -29,9 +29,9 @@
 	}
 }
 
-// askOverflow asks the far and the suspected servers, once, when all servers here have refused the request
-// or have only queued it, and reports whether it did. Servers here that have queued the
-// request go on. Nothing is asked if the request could not end in time there.
+// askOverflow asks the far and the suspected servers, once, when all others have refused
+// the request or have only queued it, and reports whether it did. Servers that have queued
+// the request go on. Nothing is asked if the request could not end in time there.
 func (s *slotSearch) askOverflow(request upstream.SlotRequest) bool {
 	if len(s.overflow) == 0 || len(s.offers) > 0 || s.final {
 		return false
