link: what an ended link still takes is reported as handled

Cause: the inbox of a link may take a message at the moment at which the link ends. TellSuspicions promises that its channel receives an element then, but nothing read the inbox any more. Fleet gave up after 250 ms, so a request was sent again that much later. Change: the sender and the link both empty the inbox once the link has ended.

--- a/lib/link/link.go
+++ b/lib/link/link.go
@@ -254,6 +254,7 @@
 	err := l.serve(ctx)
 	_ = l.conn.Close()
 	l.inbox.Close()
+	l.dropTellsIfEnded()
 	l.endPending()
 	l.hooks.closed(l, err)
 }
--- a/lib/link/tell.go
+++ b/lib/link/tell.go
@@ -20,15 +20,38 @@
 func (l *Link) TellSuspicions(records []quarantine.Record, handled chan<- struct{}) {
 	c := command{tell: &tellCommand{records: records, handled: handled}}
 	if l.inbox.TrySend(c) {
+		l.dropTellsIfEnded()
 		return
 	}
 	go func() {
 		if !l.inbox.Send(c) {
 			handled <- struct{}{}
+			return
 		}
+		l.dropTellsIfEnded()
 	}()
 }
 
+// dropTellsIfEnded ends the tells in the inbox if the link has ended. The inbox may take a
+// message at the moment at which the link ends, so both the sender and the link check.
+func (l *Link) dropTellsIfEnded() {
+	select {
+	case <-l.inbox.Done():
+	default:
+		return
+	}
+	for {
+		select {
+		case c := <-l.inbox.Messages():
+			if c.tell != nil {
+				c.tell.handled <- struct{}{}
+			}
+		default:
+			return
+		}
+	}
+}
+
 // handleTell sends the records and a ping in one piece, so that nothing comes between them.
 func (l *Link) handleTell(c *tellCommand) {
 	l.pingsSent++
--- a/lib/link/tell_test.go
+++ b/lib/link/tell_test.go
@@ -30,8 +30,11 @@
 	must.Eq(t, records, <-b.suspicions)
 	cancel()
 	must.Error(t, <-a.closed)
-	a.link.TellSuspicions(records, handled)
-	<-handled
+	// The inbox of an ended link takes some of the messages.
+	for range 50 {
+		a.link.TellSuspicions(records, handled)
+		<-handled
+	}
 }
 
 // TestLostRequestEndsWithTheVerdict guards against a final event that is taken for the end
