responseend: one package decides when a cut response may look complete

Cause: lib/httpclient and lib/server held the same error type and the same test of a response that only the end of the connection marks. Change: both use lib/responseend. Nothing that is sent or decided changes.

--- a/lib/server/complete.go
+++ b/lib/server/complete.go
@@ -2,26 +2,11 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
-)
-
-// BrokenUploadError reports a response that ended with its connection although the
-// request was not written to its end, so that the response may have been cut. A reset of
-// the connection is reported once, possibly to the goroutine that writes; the reader then
-// sees an ordinary end.
-type BrokenUploadError struct {
-	cause error
-}
 
-// Error implements error.
-func (e *BrokenUploadError) Error() string {
-	return fmt.Sprintf("response ended with its connection before the request was written: %v", e.cause)
-}
-
-// Unwrap returns the cause.
-func (e *BrokenUploadError) Unwrap() error { return e.cause }
+	"savorygap.example/lib/responseend"
+)
 
 // endCheckedBody is the body of a response that ends with its connection. It returns
 // io.EOF only if the request was written to its end and no read failed.
@@ -34,7 +19,7 @@
 // withCheckedEnd returns the response with a body that checks its end, if only the end of
 // the connection marks it.
 func (x *Exchange) withCheckedEnd(response *http.Response) *http.Response {
-	if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if responseend.IsMarkedByConnection(response) {
 		response.Body = &endCheckedBody{ReadCloser: response.Body, exchange: x}
 	}
 	return response
@@ -48,7 +33,7 @@
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		if cause := b.exchange.awaitWritten(); cause != nil {
-			err = &BrokenUploadError{cause: cause}
+			err = responseend.NewBrokenUploadError(cause)
 		}
 	}
 	b.failure = err
