--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -33,7 +33,7 @@
 }
 
 func run(name, binary, path string, trouble bool) int {
-	cases := map[string]func(*fleet, bool) error{"quota": playQuota, "budget": playBudget}
+	cases := map[string]func(*fleet, bool) error{"quota": playQuota, "budget": playBudget, "drain": playDrain}
 	play, ok := cases[name]
 	if !ok {
 		fmt.Fprintf(os.Stderr, "no case %q\n", name)
