httpclient: refuse responses with an invalid field name

Callers of savorygap-node saw: an answer with the line "X Note: a" in its head, and 4 of 9 bytes as a whole body where the server had sent "Content-Length : 9" and closed the connection. Other forms: chunk sizes passed on as body after "Transfer-Encoding : chunked"; " Content-Length: 9" passed on as a part of the value of the field before.

Cause: http.ReadResponse keeps a space as part of a field name and joins a line that begins with white space with the line before. Neither is an error, so a field that frames the body loses its effect without notice. Other control bytes in a name were refused before.

Why the fix works: lib/responsehead keeps the bytes of a head while net/http parses it and then requires each line to begin with a token, which a folded line does not. The exchange ends with an unknown outcome, as for any other malformed head, before a byte of the body is read. Trailers do not frame anything; their names are checked once the body has been read.

--- a/lib/httpclient/body.go
+++ b/lib/httpclient/body.go
@@ -7,6 +7,8 @@
 	"math"
 	"net"
 	"net/http"
+
+	"savorygap.example/lib/responsehead"
 )
 
 const (
@@ -53,6 +55,10 @@
 	if body.Len() > maxResponseBody {
 		return nil, &ResponseTooLargeError{part: "body", limit: maxResponseBody}
 	}
+	// Only now has the trailer of a chunked body been read.
+	if err := responsehead.CheckNames(response.Trailer); err != nil {
+		return nil, err
+	}
 	return body.Bytes(), nil
 }
 
--- a/lib/httpclient/conn.go
+++ b/lib/httpclient/conn.go
@@ -1,12 +1,12 @@
 package httpclient
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"slices"
 	"time"
 
+	"savorygap.example/lib/responsehead"
 	"savorygap.example/lib/socket"
 	"savorygap.example/lib/upstream"
 )
@@ -30,7 +30,7 @@
 type Conn struct {
 	raw         net.Conn
 	input       *limitedReader
-	reader      *bufio.Reader
+	reader      *responsehead.Reader
 	memory      *upstream.BodyMemory
 	exchanges   int
 	recentIDs   []string
@@ -52,7 +52,7 @@
 // NewConn returns a connection to a server over raw.
 func NewConn(raw net.Conn, memory *upstream.BodyMemory) *Conn {
 	input := newLimitedReader(raw)
-	return &Conn{raw: raw, input: input, reader: bufio.NewReaderSize(input, bufferSize), memory: memory, idleTimeout: defaultIdleTimeout}
+	return &Conn{raw: raw, input: input, reader: responsehead.NewReader(input, bufferSize), memory: memory, idleTimeout: defaultIdleTimeout}
 }
 
 // Close closes the connection.
--- a/lib/httpclient/exchange.go
+++ b/lib/httpclient/exchange.go
@@ -13,7 +13,6 @@
 
 	"savorygap.example/lib/headernames"
 	"savorygap.example/lib/headers"
-	"savorygap.example/lib/statusline"
 	"savorygap.example/lib/upstream"
 )
 
@@ -265,10 +264,7 @@
 func (c *Conn) parseHeader(method *http.Request) (*http.Response, error) {
 	c.input.limitTo(maxResponseHeader)
 	defer c.input.removeLimit()
-	if err := statusline.Check(c.reader); err != nil {
-		return nil, err
-	}
-	return http.ReadResponse(c.reader, method)
+	return c.reader.ReadResponse(method)
 }
 
 // readServerStatus reads the load report and the cold-start time from the
