server: refuse responses with an invalid field name

Callers of savorygapd saw a response whose head, or the head of an informational response before it, had a line such as "X Note: a" or "Content-Length : 2" as a whole one; net/http left the line itself out, but the body was read with another framing than the server meant. A chunked body counted as whole before such a line in its trailer.

Cause: as in lib/httpclient, http.ReadResponse accepts a space in a field name and joins a line that begins with white space with the line before.

Evidence, on the code before: TestAttempt_InvalidFieldNameIsNoResponse and TestAttempt_InvalidTrailerIsAnError red, both at the first line, "X Note: a".

Why the fix works: the connection reads heads with lib/responsehead, so that such a head leaves the outcome unknown.

--- a/lib/server/conn.go
+++ b/lib/server/conn.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"savorygap.example/lib/responsehead"
 	"savorygap.example/lib/socket"
 )
 
@@ -25,7 +26,7 @@
 // proxy while it is idle, and one exchange while it is in use.
 type Conn struct {
 	netConn   net.Conn
-	reader    *bufio.Reader
+	reader    *responsehead.Reader
 	writer    *bufio.Writer
 	written   int64
 	idleSince time.Time
@@ -42,7 +43,7 @@
 }
 
 func newConn(netConn net.Conn) *Conn {
-	c := &Conn{netConn: netConn, reader: bufio.NewReaderSize(netConn, bufferSize)}
+	c := &Conn{netConn: netConn, reader: responsehead.NewReader(netConn, bufferSize)}
 	c.writer = bufio.NewWriterSize(writerFunc(c.write), bufferSize)
 	return c
 }
--- a/lib/server/exchange.go
+++ b/lib/server/exchange.go
@@ -10,7 +10,6 @@
 	"savorygap.example/lib/admission"
 	"savorygap.example/lib/load"
 	"savorygap.example/lib/outcome"
-	"savorygap.example/lib/statusline"
 )
 
 const (
@@ -114,10 +113,7 @@
 
 func (x *Exchange) readHead(request *http.Request) error {
 	for range maxInformationalResponses {
-		if err := statusline.Check(x.conn.reader); err != nil {
-			return err
-		}
-		response, err := http.ReadResponse(x.conn.reader, request)
+		response, err := x.conn.reader.ReadResponse(request)
 		if err != nil {
 			return err
 		}
