store: refuse replies with an invalid field name

In savorygapd, a reply of the store with a line such as "Content-Length : 90" renewed a lease.

Cause: http.Client reads heads with http.ReadResponse, which accepts a space in a field name.

Evidence, on the code before: TestInvalidFieldName_IsNoSuccess red at the renewal, "expected non-nil error; got nil".

Why the fix works: the names of header and trailer are checked before the status or the body is used. The call is unavailable; a compare-and-swap is ambiguous, since the store may have made it.

--- a/lib/store/http.go
+++ b/lib/store/http.go
@@ -12,6 +12,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"savorygap.example/lib/responsehead"
 )
 
 // maxResponseBytes limits the size of a response from the service. A value takes
@@ -143,10 +145,16 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
+	if err := responsehead.CheckNames(response.Header); err != nil {
+		return err
+	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
 		return err
 	}
+	if err := responsehead.CheckNames(response.Trailer); err != nil {
+		return err
+	}
 	if response.StatusCode < http.StatusOK || response.StatusCode >= http.StatusMultipleChoices {
 		version, _ := strconv.ParseUint(response.Header.Get("X-Version"), 10, 64)
 		return &statusError{code: response.StatusCode, version: version, text: string(bytes.TrimSpace(data))}
--- a/lib/store/store_test.go
+++ b/lib/store/store_test.go
@@ -212,3 +212,23 @@
 	}
 	must.NoError(t, store.NewHTTP(&http.Client{Transport: statusTransport(http.StatusOK)}, "http://store").Renew(context.Background(), "lease"))
 }
+
+// headerTransport answers every call with status 200, an empty object and a header.
+type headerTransport http.Header
+
+// RoundTrip implements http.RoundTripper.
+func (h headerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Header: http.Header(h), Body: io.NopCloser(strings.NewReader("{}")), Request: r}, nil
+}
+
+// TestInvalidFieldName_IsNoSuccess guards against a lease that counts as renewed, and a write as made,
+// because of a reply that is not HTTP: net/http passes on names that hold a space.
+func TestInvalidFieldName_IsNoSuccess(t *testing.T) {
+	c := store.NewHTTP(&http.Client{Transport: headerTransport{"Content-Length ": {"90"}}}, "http://store")
+	must.Error(t, c.Renew(context.Background(), "lease"))
+	_, err := c.CompareAndSwap(context.Background(), store.NewWrite("k", nil))
+	var ambiguous *store.AmbiguousError
+	must.True(t, errors.As(err, &ambiguous))
+	c = store.NewHTTP(&http.Client{Transport: headerTransport{"X-Note": {"a"}}}, "http://store")
+	must.NoError(t, c.Renew(context.Background(), "lease"))
+}
