serverproxy: test waits for the report of an ended server

Cause: the test is wrong, not the proxy. The chart enters "checking" when a probe is refused after the first lost connection. The report comes when all requests in flight are lost or gatherTime has passed, and the test looked for it once, as soon as the state was reached. The other connections may still be open then.

The test now waits for reports until they hold three requests, and for 2 s of its clock that no other report follows. It still requires exactly three times the fingerprint, and now also refuses a report too many.

--- a/lib/serverproxy/losses_test.go
+++ b/lib/serverproxy/losses_test.go
@@ -36,11 +36,21 @@
 	}
 	r.awaitState("checking")
 	got := map[quarantine.Fingerprint]int{}
-	for len(r.ended) > 0 {
-		for _, f := range <-r.ended {
-			got[f]++
+	timeout := time.After(10 * time.Second)
+	// The state changes with the first lost connection, the report comes with the last.
+	for reported := 0; reported < 3; {
+		select {
+		case fingerprints := <-r.ended:
+			reported += len(fingerprints)
+			for _, f := range fingerprints {
+				got[f]++
+			}
+		case <-timeout:
+			t.Fatalf("%d of 3 requests were reported", reported)
 		}
 	}
+	r.run(2 * time.Second)
+	must.Eq(t, 0, len(r.ended))
 	must.MapEq(t, map[quarantine.Fingerprint]int{orderFingerprint("id"): 3}, got)
 }
 
