store: test refused replies on a socket, trailers too

It now has a stand-in on a socket, with a space in a name, "Content-Length : 90" and a bad trailer, and a good trailer that is still accepted.

--- a/lib/store/store_test.go
+++ b/lib/store/store_test.go
@@ -213,22 +213,34 @@
 	must.NoError(t, store.NewHTTP(&http.Client{Transport: statusTransport(http.StatusOK)}, "http://store").Renew(context.Background(), "lease"))
 }
 
-// headerTransport answers every call with status 200, an empty object and a header.
-type headerTransport http.Header
-
-// RoundTrip implements http.RoundTripper.
-func (h headerTransport) RoundTrip(r *http.Request) (*http.Response, error) {
-	return &http.Response{StatusCode: http.StatusOK, Header: http.Header(h), Body: io.NopCloser(strings.NewReader("{}")), Request: r}, nil
+// startRawService starts a service that answers each request with text and closes its
+// connection. It returns a client for it.
+func startRawService(t *testing.T, text string) *store.Client {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(conn, text)
+		_ = conn.Close()
+	}))
+	t.Cleanup(server.Close)
+	return store.NewHTTP(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, server.URL)
 }
 
 // TestInvalidFieldName_IsNoSuccess guards against a lease that counts as renewed, and a write as made,
 // because of a reply that is not HTTP: net/http passes on names that hold a space.
 func TestInvalidFieldName_IsNoSuccess(t *testing.T) {
-	c := store.NewHTTP(&http.Client{Transport: headerTransport{"Content-Length ": {"90"}}}, "http://store")
-	must.Error(t, c.Renew(context.Background(), "lease"))
-	_, err := c.CompareAndSwap(context.Background(), store.NewWrite("k", nil))
-	var ambiguous *store.AmbiguousError
-	must.True(t, errors.As(err, &ambiguous))
-	c = store.NewHTTP(&http.Client{Transport: headerTransport{"X-Note": {"a"}}}, "http://store")
+	const chunks = "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"
+	for _, rest := range []string{"X Note: a\r\nContent-Length: 2\r\n\r\n{}", "Content-Length : 90\r\n\r\n{}", chunks + "X Note: a\r\n\r\n"} {
+		c := startRawService(t, "HTTP/1.1 200 OK\r\n"+rest)
+		must.Error(t, c.Renew(context.Background(), "lease"), must.Sprintf("%q", rest))
+		_, err := c.CompareAndSwap(context.Background(), store.NewWrite("k", nil))
+		var ambiguous *store.AmbiguousError
+		must.True(t, errors.As(err, &ambiguous), must.Sprintf("%q: %v", rest, err))
+	}
+	c := startRawService(t, "HTTP/1.1 200 OK\r\n"+chunks+"X-Note: a\r\n\r\n")
 	must.NoError(t, c.Renew(context.Background(), "lease"))
 }
