httpclient: test of a chunked response of HTTP/1.0, known red

A caller gets "2\r\nab\r\n0\r\n\r\n" where the body is "ab". net/http ignores the encoding of a response of HTTP/1.0; RFC 9112, 6.1, holds such framing for faulty.

--- a/lib/httpclient/fieldname_test.go
+++ b/lib/httpclient/fieldname_test.go
@@ -54,6 +54,12 @@
 	}
 }
 
+// TestExchange_ChunkedResponseOfHTTP10IsNoResponse guards against chunk sizes that are passed on
+// as a part of the body: net/http ignores the encoding of a response of HTTP/1.0.
+func TestExchange_ChunkedResponseOfHTTP10IsNoResponse(t *testing.T) {
+	requireNoResponse(t, "HTTP/1.0 200 OK\r\nX-Request-Id: 1\r\nX-Server-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n")
+}
+
 func requireNoResponse(t *testing.T, text string) {
 	t.Helper()
 	r := exchange(scriptedServer(t, strings.TrimSuffix(text, "!")+"!"), "1")
