registry: report each watch of the store in the log

The log does not tell which node watched when, so that a watch that hangs cannot be told from a turn that nobody takes. Each watch is now a line "store-watch" with the time since the node's last call, how long it took and whether its peers were told.

--- a/lib/registry/watcher.go
+++ b/lib/registry/watcher.go
@@ -75,11 +75,36 @@
 	announce      func(started bool)
 	update        func(Update)
 	observeResult func(err error)
+	reportWatch   func(Watch)
 	healthy       bool            // whether the last call to the store succeeded
 	activePeer    string          // the peer whose watch is waited for, "" for none
 	overduePeers  map[string]bool // peers whose last watch did not end in time
 }
 
+// Watch describes a watch of the store that has ended.
+type Watch struct {
+	announced bool
+	idle      time.Duration
+	took      time.Duration
+	records   int
+	err       error
+}
+
+// Announced reports whether the peers were told of the watch.
+func (w Watch) Announced() bool { return w.announced }
+
+// Idle returns the time from the end of the node's previous call to the start of this one.
+func (w Watch) Idle() time.Duration { return w.idle }
+
+// Took returns how long the watch took.
+func (w Watch) Took() time.Duration { return w.took }
+
+// Records returns the number of changes that the watch returned.
+func (w Watch) Records() int { return w.records }
+
+// Err returns why the watch failed, nil if it did not.
+func (w Watch) Err() error { return w.err }
+
 // peerWatch reports that a peer has started or ended a watch.
 type peerWatch struct {
 	peer    string
@@ -95,9 +120,14 @@
 	return &Watcher{
 		store: store, clock: clock, wakeups: make(chan struct{}, 1), peerWatches: make(chan peerWatch, peerWatchBuffer),
 		failures: make(chan struct{}, 1), overduePeers: map[string]bool{}, share: share, announce: announce, update: update, observeResult: observeResult,
+		reportWatch: func(Watch) {},
 	}
 }
 
+// ReportWatches has report called, from the task of the watcher, for each watch that has
+// ended. It must be called before Run, and report must not block.
+func (w *Watcher) ReportWatches(report func(Watch)) { w.reportWatch = report }
+
 // WatchNow starts a watch at once, for example after an outage of the store. It
 // never blocks.
 func (w *Watcher) WatchNow() {
@@ -129,8 +159,14 @@
 func (w *Watcher) Run(ctx context.Context) {
 	version, synced := uint64(0), false
 	backoff := minRetryDelay
+	lastEndedAt := w.clock.Now()
 	for ctx.Err() == nil {
+		startedAt := w.clock.Now()
 		records, next, err := w.call(ctx, version, synced)
+		if synced {
+			w.reportWatch(Watch{announced: w.healthy, idle: startedAt.Sub(lastEndedAt), took: w.clock.Since(startedAt), records: len(records), err: err})
+		}
+		lastEndedAt = w.clock.Now()
 		w.observeResult(err)
 		if mustReadAgain(err) {
 			synced = false
--- a/savorygap-node/internal/storage/storage.go
+++ b/savorygap-node/internal/storage/storage.go
@@ -44,6 +44,13 @@
 	monitor := &availability{process: p}
 	watcher := registry.NewWatcher(store, p.Clock(), func() float64 { return p.Fleet().WatchShare() }, func(started bool) { p.Fleet().AnnounceWatch(started) },
 		func(u registry.Update) { p.Fleet().ApplyUpdate(u) }, monitor.observeWatch)
+	watcher.ReportWatches(func(w registry.Watch) {
+		fields := []any{"announced", w.Announced(), "idle_ms", w.Idle().Milliseconds(), "took_ms", w.Took().Milliseconds(), "records", w.Records()}
+		if err := w.Err(); err != nil {
+			fields = append(fields, "error", err.Error())
+		}
+		p.Log().Write("store-watch", fields...)
+	})
 	registrar := registry.NewRegistrar(store, p.Clock(), t.Host(), monitor.observeWrite)
 	p.SetStore(store, registrar, watcher)
 	return nil
