registry: let any node watch the store when those with fast links fail to

Cause: the delay until a node starts a watch was 30 ms divided by its share of the watches, which goes by the bandwidth of its host even when the hosts with fast links cannot reach the store. With four links of 200 Mbit/s and eight of 10, each of the eight waited 11 s on average after a watch that was overdue. The end of a failed watch was announced like that of a good one, and began these waits anew.

Why the fix works: the turns are a chart, "watch". After a watch that failed or is overdue, and 150 ms after a pause in which no node has started one, the delay no longer depends on the bandwidth. Nodes then make a watch that is answered at once, so that further nodes that are cut off cost little. Nodes in an outage of the store retry with the same delays, since those with slow links could retry up to 10 s later than needed.

--- a/lib/chart/chart_test.go
+++ b/lib/chart/chart_test.go
@@ -17,7 +17,7 @@
 func TestEmbeddedChartsAreValid(t *testing.T) {
 	set, err := chart.Embedded()
 	must.NoError(t, err)
-	must.SliceContainsAll(t, set.Names(), []string{"request", "server", "member", "place", "configuration", "datacentre", "process", "quarantine", "rollout", "store"})
+	must.SliceContainsAll(t, set.Names(), []string{"request", "server", "member", "place", "configuration", "datacentre", "process", "quarantine", "rollout", "store", "watch"})
 }
 
 func TestParseRejectsInvalidCharts(t *testing.T) {
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -25,7 +25,6 @@
 
 import (
 	"context"
-	"math"
 	"net"
 	"sync/atomic"
 	"time"
@@ -127,7 +126,7 @@
 	dialStopped    bool
 	stopping       bool
 	stoppingNodes  map[string]bool // peers that are stopping
-	watchShare     atomic.Uint64   // bits of a float64
+	watchShare     atomic.Pointer[registry.Share]
 }
 
 // dialState holds the attempts to dial a member to which there is no link.
@@ -192,7 +191,8 @@
 	if err != nil {
 		return nil, err
 	}
-	f.watchShare.Store(math.Float64bits(1))
+	only := registry.NewShare(1, 1)
+	f.watchShare.Store(&only)
 	if f.storeMachine, err = f.newStoreMachine(charts); err != nil {
 		return nil, err
 	}
@@ -243,14 +243,13 @@
 // blocks and must not be called concurrently.
 func (f *Fleet) SetServerState(s link.ServerState) { f.serverStates.Put(s) }
 
-// AnnounceWatch tells the peers that this node has started or ended a watch of the
-// store.
-func (f *Fleet) AnnounceWatch(started bool) { f.inbox.Send(message{watch: &started}) }
+// AnnounceWatch tells the peers of a phase of a watch of the store by this node.
+func (f *Fleet) AnnounceWatch(phase registry.WatchPhase) { f.inbox.Send(message{watch: &phase}) }
 
-// WatchShare returns the fraction of all watches of the store that this node
-// should make. It grows with the bandwidth of the host, since the changes that a
-// watch returns reach the other nodes through this host.
-func (f *Fleet) WatchShare() float64 { return math.Float64frombits(f.watchShare.Load()) }
+// WatchShare returns the share of all watches of the store that this node should
+// make. It grows with the bandwidth of the host, since the changes that a watch
+// returns reach the other nodes through this host.
+func (f *Fleet) WatchShare() registry.Share { return *f.watchShare.Load() }
 
 // StopDialling stops dialling members and removing unreachable ones. Links that
 // are up stay, and peers may still connect.
--- a/lib/fleet/fleet_test.go
+++ b/lib/fleet/fleet_test.go
@@ -30,7 +30,7 @@
 	member     registry.Record
 	snapshots  chan fleet.Snapshot
 	peers      chan []fleet.Peer
-	watches    chan bool
+	watches    chan registry.WatchPhase
 	entries    chan entry
 	entryLost  chan struct{}
 	removals   chan registry.Record
@@ -62,13 +62,13 @@
 	must.NoError(t, err)
 	n := &node{
 		address: listener.Addr().String(), snapshots: make(chan fleet.Snapshot, 64), peers: make(chan []fleet.Peer, 64),
-		watches: make(chan bool, 64), entries: make(chan entry, 4), entryLost: make(chan struct{}, 16), removals: make(chan registry.Record, 16), departures: make(chan []registry.Record, 16), servers: make(chan [2]string, 16),
+		watches: make(chan registry.WatchPhase, 64), entries: make(chan entry, 4), entryLost: make(chan struct{}, 16), removals: make(chan registry.Record, 16), departures: make(chan []registry.Record, 16), servers: make(chan [2]string, 16),
 	}
 	decode := func(text []byte) (*routeconfig.Config, error) {
 		return routeconfig.New(uint64(len(text)), nil, nil, routeconfig.DefaultLimits()), nil
 	}
 	hooks := fleet.NewHooks(decode, func(s fleet.Snapshot) { n.snapshots <- s }, func(p []fleet.Peer) { n.peers <- p },
-		func(int) {}, func(d []registry.Record, _ bool) { n.departures <- d }, func(r registry.Record, exists bool) { n.entries <- entry{r, exists} }, func(_ string, started bool) { n.watches <- started },
+		func(int) {}, func(d []registry.Record, _ bool) { n.departures <- d }, func(r registry.Record, exists bool) { n.entries <- entry{r, exists} }, func(_ string, phase registry.WatchPhase) { n.watches <- phase },
 		func() { n.entryLost <- struct{}{} }, func(r registry.Record) { n.removals <- r }).
 		WithRollouts(func(registry.Update) {}, func(rollout.Message) {}, func() []rollout.Message { return nil },
 			func(instance, release string) { n.servers <- [2]string{instance, release} })
@@ -209,7 +209,7 @@
 
 func TestNodesWithHighBandwidthMakeMostWatches(t *testing.T) {
 	fast, slow := newNodeWithBandwidth(t, "a", 25e6), newNodeWithBandwidth(t, "b", 1e6)
-	must.Eq(t, 1.0, fast.fleet.WatchShare())
+	must.Eq(t, registry.NewShare(1, 1), fast.fleet.WatchShare())
 	start := []registry.Record{configuration(5, "x"), fast.member.WithVersion(1), slow.member.WithVersion(2)}
 	for _, n := range []*node{fast, slow} {
 		n.fleet.ApplyUpdate(registry.NewUpdate(start, 5, true))
@@ -217,18 +217,19 @@
 	for _, n := range []*node{fast, slow} {
 		n.awaitPeers(t, func(count int) bool { return count > 0 })
 	}
-	must.Greater(t, 0.9, fast.fleet.WatchShare())
-	must.InDelta(t, 1, fast.fleet.WatchShare()+slow.fleet.WatchShare(), 1e-9)
+	must.Greater(t, 0.9, fast.fleet.WatchShare().Preferred())
+	must.InDelta(t, 1, fast.fleet.WatchShare().Preferred()+slow.fleet.WatchShare().Preferred(), 1e-9)
+	must.Eq(t, 0.5, slow.fleet.WatchShare().Equal())
 }
 
 func TestWatchesAreAnnouncedToPeers(t *testing.T) {
 	a, b := newNode(t, "a"), newNode(t, "b")
 	a.fleet.ApplyUpdate(registry.NewUpdate([]registry.Record{configuration(5, "x"), b.member.WithVersion(2)}, 5, true))
 	a.awaitPeers(t, func(count int) bool { return count > 0 })
-	a.fleet.AnnounceWatch(true)
-	a.fleet.AnnounceWatch(false)
-	must.True(t, <-b.watches)
-	must.False(t, <-b.watches)
+	for _, phase := range []registry.WatchPhase{registry.WatchStarted, registry.WatchEnded, registry.WatchFailed} {
+		a.fleet.AnnounceWatch(phase)
+		must.Eq(t, phase, <-b.watches)
+	}
 }
 
 func TestPeersAreKeptWhileTheStoreListsNoMembers(t *testing.T) {
--- a/lib/fleet/hooks.go
+++ b/lib/fleet/hooks.go
@@ -16,7 +16,7 @@
 	nodes        func(count int)
 	departures   func(records []registry.Record, stored bool)
 	register     func(entry registry.Record, exists bool)
-	watch        func(peer string, started bool)
+	watch        func(peer string, phase registry.WatchPhase)
 	entryLost    func()
 	removeMember func(registry.Record)
 	suspicions   func([]quarantine.Record)
@@ -35,11 +35,11 @@
 //     from the store,
 //   - register receives the entry of this node and whether the store has it
 //     already,
-//   - watch is called when a peer starts or ends a watch of the store,
+//   - watch receives the phases of the watches of peers,
 //   - entryLost is called when the store no longer has the entry of this node,
 //   - removeMember receives the entry of a member that stays unreachable, to be
 //     removed from the store.
-func NewHooks(decode func([]byte) (*routeconfig.Config, error), snapshot func(Snapshot), peers func([]Peer), nodes func(int), departures func(records []registry.Record, stored bool), register func(entry registry.Record, exists bool), watch func(peer string, started bool), entryLost func(), removeMember func(registry.Record)) Hooks {
+func NewHooks(decode func([]byte) (*routeconfig.Config, error), snapshot func(Snapshot), peers func([]Peer), nodes func(int), departures func(records []registry.Record, stored bool), register func(entry registry.Record, exists bool), watch func(peer string, phase registry.WatchPhase), entryLost func(), removeMember func(registry.Record)) Hooks {
 	return Hooks{decode: decode, snapshot: snapshot, peers: peers, nodes: nodes, departures: departures, register: register, watch: watch, entryLost: entryLost, removeMember: removeMember,
 		suspicions: func([]quarantine.Record) {}, heldRequests: func() []quarantine.Record { return nil }, rollouts: noRollouts()}
 }
--- a/lib/fleet/links.go
+++ b/lib/fleet/links.go
@@ -88,8 +88,12 @@
 // handleSignal handles a signal. It is called from the task of the link.
 func (f *Fleet) handleSignal(l *link.Link, s link.Signal) {
 	switch s {
-	case link.WatchStarted, link.WatchEnded:
-		f.hooks.watch(l.Peer(), s == link.WatchStarted)
+	case link.WatchStarted:
+		f.hooks.watch(l.Peer(), registry.WatchStarted)
+	case link.WatchEnded:
+		f.hooks.watch(l.Peer(), registry.WatchEnded)
+	case link.WatchFailed:
+		f.hooks.watch(l.Peer(), registry.WatchFailed)
 	case link.FetchSnapshot:
 		f.inbox.Send(message{fetch: l})
 	case link.Busy:
@@ -197,14 +201,17 @@
 	}
 }
 
-// broadcastWatch tells all peers that a watch of this node has started or ended.
-func (f *Fleet) broadcastWatch(started bool) {
-	s := link.WatchEnded
-	if started {
-		s = link.WatchStarted
-	}
+// watchSignals holds the signal of each phase of a watch.
+var watchSignals = []link.Signal{
+	registry.WatchStarted: link.WatchStarted,
+	registry.WatchEnded:   link.WatchEnded,
+	registry.WatchFailed:  link.WatchFailed,
+}
+
+// broadcastWatch tells all peers of a phase of a watch of this node.
+func (f *Fleet) broadcastWatch(phase registry.WatchPhase) {
 	for _, p := range f.links {
-		p.link.SendSignal(s)
+		p.link.SendSignal(watchSignals[phase])
 	}
 }
 
@@ -257,13 +264,13 @@
 		total += watchWeight(p.hello.Bandwidth())
 		peers = append(peers, Peer{node: node, dataCentre: p.hello.DataCentre(), serverState: p.serverState, endpoint: p.link.Endpoint()})
 	}
-	f.watchShare.Store(math.Float64bits(own / total))
+	share := registry.NewShare(own/total, 1/float64(len(newest)+1))
+	f.watchShare.Store(&share)
 	f.hooks.peers(peers)
 }
 
 // watchWeight returns the weight of a node whose host has the given bandwidth, in
-// bytes per second. The few fast hosts make most watches. When they cannot reach the
-// store, the many slow hosts have enough weight together to start a watch soon.
+// bytes per second. The few fast hosts make most watches.
 func watchWeight(bandwidth float64) float64 {
 	return math.Pow(max(bandwidth, minBandwidth), watchWeightExponent)
 }
--- a/lib/fleet/membership_test.go
+++ b/lib/fleet/membership_test.go
@@ -44,7 +44,7 @@
 		return routeconfig.New(1, nil, nil, routeconfig.DefaultLimits()), nil
 	}
 	hooks := fleet.NewHooks(decode, func(fleet.Snapshot) { n.snapshots <- n.passedOn.Load() }, func([]fleet.Peer) {}, func(int) {}, func([]registry.Record, bool) {},
-		func(registry.Record, bool) {}, func(string, bool) {}, func() {}, func(registry.Record) {}).
+		func(registry.Record, bool) {}, func(string, registry.WatchPhase) {}, func() {}, func(registry.Record) {}).
 		WithQuotas(func(m fleet.Membership) {
 			n.passedOn.Add(1)
 			n.memberships <- m
--- a/lib/fleet/messages.go
+++ b/lib/fleet/messages.go
@@ -19,7 +19,7 @@
 	hello        *helloMessage
 	serverState  *serverStateMessage
 	versions     *versionsMessage
-	watch        *bool
+	watch        *registry.WatchPhase
 	fetch        *link.Link
 	busy         *link.Link
 	members      []registry.Record
--- a/lib/fleet/refuse_test.go
+++ b/lib/fleet/refuse_test.go
@@ -47,7 +47,7 @@
 		return routeconfig.New(version, nil, nil, routeconfig.DefaultLimits()), nil
 	}
 	hooks := fleet.NewHooks(decode, func(s fleet.Snapshot) { n.snapshots <- s }, func([]fleet.Peer) {}, func(int) {}, func([]registry.Record, bool) {},
-		func(registry.Record, bool) {}, func(string, bool) {}, func() {}, func(registry.Record) {})
+		func(registry.Record, bool) {}, func(string, registry.WatchPhase) {}, func() {}, func(registry.Record) {})
 	n.fleet, err = fleet.New(fleet.NewMember("a", listener.Addr().String(), "north", "shop"), charts, hooks, link.Handler{}, clock, n.log)
 	must.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/lib/link/decode.go
+++ b/lib/link/decode.go
@@ -156,7 +156,7 @@
 // decodeSignal decodes a signal and reports false for one that this release does
 // not know.
 func decodeSignal(number uint64) (Message, bool, error) {
-	if number == uint64(noSignal) || number > uint64(Stopping) {
+	if number == uint64(noSignal) || number >= uint64(endOfSignals) {
 		return Message{}, false, nil
 	}
 	return Message{signal: Signal(number)}, true, nil
--- a/lib/link/link_test.go
+++ b/lib/link/link_test.go
@@ -179,7 +179,7 @@
 	snapshot := link.NewSnapshot(9, text, []link.Evacuation{link.NewEvacuation("north", 8, true), link.NewEvacuation("south", 7, false)})
 	a.link.SendSnapshot(snapshot)
 	must.Eq(t, snapshot, <-b.snapshots)
-	for _, s := range []link.Signal{link.WatchStarted, link.WatchEnded, link.FetchSnapshot, link.Busy, link.EntryLost} {
+	for _, s := range []link.Signal{link.WatchStarted, link.WatchEnded, link.FetchSnapshot, link.Busy, link.EntryLost, link.Stopping, link.WatchFailed} {
 		a.link.SendSignal(s)
 		must.Eq(t, s, <-b.signals)
 	}
--- a/lib/link/message.go
+++ b/lib/link/message.go
@@ -184,6 +184,11 @@
 	EntryLost
 	// Stopping reports that the sender is stopping. It no longer counts as a member.
 	Stopping
+	// WatchFailed reports that the sender's watch got no reply from the store, or was
+	// refused.
+	WatchFailed
+	// endOfSignals follows the last signal of this release.
+	endOfSignals
 )
 
 // Message is a closed union; exactly one field is set. Only a received event also
--- a/lib/registry/era_test.go
+++ b/lib/registry/era_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"github.com/shoenig/test/must"
 
 	"savorygap.example/lib/registry"
@@ -29,7 +28,7 @@
 	}
 	store := registry.NewStore(read, watch, nil, nil).WithEras(func(version uint64) uint64 { return version / first * first })
 	updates := make(chan registry.Update, 4)
-	w := registry.NewWatcher(store, clockwork.NewRealClock(), func() float64 { return 1 }, func(bool) {}, func(u registry.Update) { updates <- u }, func(error) {})
+	w := newWatcher(t, store, 1, func(registry.WatchPhase) {}, func(u registry.Update) { updates <- u }, func(error) {})
 	start(t, w)
 	must.Eq(t, uint64(first), (<-updates).EraStart())
 	second := <-updates
--- a/lib/registry/registry.go
+++ b/lib/registry/registry.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	s := registry.NewStore(read, watch, put, remove)
-//	w := registry.NewWatcher(s, clock, share, announce, update, observeResult)
+//	w, err := registry.NewWatcher(s, charts, clock, share, announce, update, observeResult)
 //	go w.Run(ctx)
 //	r := registry.NewRegistrar(s, clock, "host-1", observeResult)
 //	go r.Run(ctx)
--- a/lib/registry/registry_test.go
+++ b/lib/registry/registry_test.go
@@ -10,6 +10,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/shoenig/test/must"
 
+	"savorygap.example/lib/chart"
 	"savorygap.example/lib/registry"
 )
 
@@ -22,6 +23,21 @@
 // readEmpty is a read of a store without records.
 func readEmpty(context.Context) ([]registry.Record, uint64, error) { return nil, 7, nil }
 
+// newWatcher returns a watcher with a share of the watches of its fleet.
+func newWatcher(t *testing.T, store *registry.Store, share float64, announce func(registry.WatchPhase), update func(registry.Update), observeResult func(error)) *registry.Watcher {
+	t.Helper()
+	return newWatcherWithShare(t, store, registry.NewShare(share, share), announce, update, observeResult)
+}
+
+func newWatcherWithShare(t *testing.T, store *registry.Store, share registry.Share, announce func(registry.WatchPhase), update func(registry.Update), observeResult func(error)) *registry.Watcher {
+	t.Helper()
+	charts, err := chart.Embedded()
+	must.NoError(t, err)
+	w, err := registry.NewWatcher(store, charts, clockwork.NewRealClock(), func() registry.Share { return share }, announce, update, observeResult)
+	must.NoError(t, err)
+	return w
+}
+
 func start(t *testing.T, w *registry.Watcher) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -35,8 +51,8 @@
 		calls.Add(1)
 		return nil, 0, errRefused
 	}
-	w := registry.NewWatcher(newStore(readEmpty, watch), clockwork.NewRealClock(), func() float64 { return 1 }, func(b bool) {
-		if b {
+	w := newWatcher(t, newStore(readEmpty, watch), 1, func(phase registry.WatchPhase) {
+		if phase == registry.WatchStarted {
 			announced.Add(1)
 		}
 	}, func(registry.Update) {}, func(error) {})
@@ -53,12 +69,12 @@
 		calls.Add(1)
 		return nil, after, nil
 	}
-	w := registry.NewWatcher(newStore(readEmpty, watch), clockwork.NewRealClock(), func() float64 { return 0.25 }, func(bool) {}, func(registry.Update) {}, func(error) {})
+	w := newWatcher(t, newStore(readEmpty, watch), 0.25, func(registry.WatchPhase) {}, func(registry.Update) {}, func(error) {})
 	start(t, w)
 	startedAt := time.Now()
 	for calls.Load() < 3 {
 		// The peer starts watches and ends none, like one that cannot reach the store.
-		w.ObservePeerWatch("b", true)
+		w.ObservePeerWatch("b", registry.WatchStarted)
 		time.Sleep(100 * time.Millisecond)
 	}
 	must.Less(t, 3*time.Second, time.Since(startedAt))
@@ -78,7 +94,7 @@
 		time.Sleep(20 * time.Millisecond)
 		return nil, after, nil
 	}
-	w := registry.NewWatcher(newStore(read, watch), clockwork.NewRealClock(), func() float64 { return 1 }, func(bool) {}, func(u registry.Update) { updates <- u }, func(error) {})
+	w := newWatcher(t, newStore(read, watch), 1, func(registry.WatchPhase) {}, func(u registry.Update) { updates <- u }, func(error) {})
 	start(t, w)
 	must.Eq(t, uint64(1), (<-updates).Version())
 	second := <-updates
@@ -92,11 +108,11 @@
 		calls.Add(1)
 		return nil, after, nil
 	}
-	w := registry.NewWatcher(newStore(readEmpty, watch), clockwork.NewRealClock(), func() float64 { return 0.5 }, func(bool) {}, func(registry.Update) {}, func(error) {})
+	w := newWatcher(t, newStore(readEmpty, watch), 0.5, func(registry.WatchPhase) {}, func(registry.Update) {}, func(error) {})
 	start(t, w)
 	for range 10 {
-		w.ObservePeerWatch("b", true)
-		w.ObservePeerWatch("b", false)
+		w.ObservePeerWatch("b", registry.WatchStarted)
+		w.ObservePeerWatch("b", registry.WatchEnded)
 		time.Sleep(100 * time.Millisecond)
 	}
 	must.LessEq(t, int64(1), calls.Load())
@@ -236,7 +252,7 @@
 		watched <- time.Now()
 		return []registry.Record{registry.NewRecord(registry.KindConfiguration, "", nil).WithVersion(after + 1)}, after + 1, nil
 	}
-	w := registry.NewWatcher(newStore(readEmpty, watch), clockwork.NewRealClock(), func() float64 { return 0.2 }, func(bool) {}, func(registry.Update) {}, func(error) {})
+	w := newWatcher(t, newStore(readEmpty, watch), 0.2, func(registry.WatchPhase) {}, func(registry.Update) {}, func(error) {})
 	start(t, w)
 	first := <-watched
 	for len(watched) < changes-1 {
@@ -254,8 +270,8 @@
 			calls.Add(1)
 			return nil, after, nil
 		}
-		return registry.NewWatcher(newStore(readEmpty, watch), clockwork.NewRealClock(), func() float64 { return share },
-			func(started bool) { peer().ObservePeerWatch(name, started) }, func(registry.Update) {}, func(error) {})
+		return newWatcher(t, newStore(readEmpty, watch), share,
+			func(phase registry.WatchPhase) { peer().ObservePeerWatch(name, phase) }, func(registry.Update) {}, func(error) {})
 	}
 	var a, b *registry.Watcher
 	a = node("a", 0.98, &fast, func() *registry.Watcher { return b })
--- a/savorygap-node/internal/storage/storage.go
+++ b/savorygap-node/internal/storage/storage.go
@@ -42,20 +42,25 @@
 		p.Log().Write("store-item-unreadable", "call", call, "error", err.Error())
 	})
 	monitor := &availability{process: p}
-	watcher := registry.NewWatcher(store, p.Clock(), func() float64 { return p.Fleet().WatchShare() }, func(started bool) { p.Fleet().AnnounceWatch(started) },
-		func(u registry.Update) { p.Fleet().ApplyUpdate(u) }, monitor.observeWatch)
-	watcher.ReportWatches(func(w registry.Watch) {
-		fields := []any{"announced", w.Announced(), "idle_ms", w.Idle().Milliseconds(), "took_ms", w.Took().Milliseconds(), "records", w.Records()}
-		if err := w.Err(); err != nil {
-			fields = append(fields, "error", err.Error())
-		}
-		p.Log().Write("store-watch", fields...)
-	})
+	watcher, err := registry.NewWatcher(store, p.Charts(), p.Clock(), func() registry.Share { return p.Fleet().WatchShare() },
+		func(phase registry.WatchPhase) { p.Fleet().AnnounceWatch(phase) }, func(u registry.Update) { p.Fleet().ApplyUpdate(u) }, monitor.observeWatch)
+	if err != nil {
+		return err
+	}
+	watcher.ReportWatches(func(w registry.Watch) { logWatch(p, w) })
 	registrar := registry.NewRegistrar(store, p.Clock(), t.Host(), monitor.observeWrite)
 	p.SetStore(store, registrar, watcher)
 	return nil
 }
 
+func logWatch(p *process.Process, w registry.Watch) {
+	fields := []any{"turn", w.Turn(), "announced", w.Announced(), "idle_ms", w.Idle().Milliseconds(), "took_ms", w.Took().Milliseconds(), "records", w.Records()}
+	if err := w.Err(); err != nil {
+		fields = append(fields, "error", err.Error())
+	}
+	p.Log().Write("store-watch", fields...)
+}
+
 // Start starts the tasks. The tasks that they notify must exist.
 func Start(p *process.Process) {
 	p.Go(p.Watcher().Run)
