fleet: send all members to a peer with its first configuration

Cause: a node that starts while the store is down learned other nodes only from those that dial it, which are the survivors. It took them and itself for the whole fleet: with one survivor it owned a tenant with a share of 1, or fell back on a half of the rate, where its part was a tenth.

Why the fix works: whoever has a configuration has it from the store, with the members, or from a peer, which now sends the members first. Restarted nodes dial each other at once, and the owner's share and the fallbacks are parts of the same number. A node that has no list publishes no membership and grants nothing itself.

--- a/lib/fleet/fetch.go
+++ b/lib/fleet/fetch.go
@@ -38,14 +38,22 @@
 	if b.available <= 0 {
 		return false
 	}
+	b.spend(size)
+	return true
+}
+
+// spend spends size bytes, which may overdraw the budget.
+func (b *byteBudget) spend(size int) {
 	b.available -= float64(size)
 	b.spent += size
-	return true
 }
 
 // handleVersions handles the versions that a peer announces. If either is newer than
 // the one in force, the peer becomes a source and a fetch is scheduled.
 func (f *Fleet) handleVersions(l *link.Link, versions link.Versions) {
+	if p, ok := f.links[l.ID()]; ok {
+		p.configured = versions.Configuration() != 0
+	}
 	versions = f.withoutRefused(versions)
 	if !versions.HasNewerThan(f.snapshot.versions()) {
 		return
@@ -109,6 +117,7 @@
 		l.SendSignal(link.Busy)
 		return
 	}
+	f.transferBudget.spend(f.sendRoster(l))
 	var evacuations []link.Evacuation
 	for _, e := range f.snapshot.evacuations {
 		evacuations = append(evacuations, e)
--- a/lib/fleet/fleet.go
+++ b/lib/fleet/fleet.go
@@ -8,7 +8,8 @@
 // link stays as long as requests are under way on it. Nodes announce the versions of the configuration that they have.
 // A node with an older version, for example because the store rejects its calls,
 // fetches the newer one from a peer. A node never replaces its configuration with
-// an older one.
+// an older one. A node that fetches its first configuration gets the list of all
+// members before it, so that it knows the fleet while the store cannot be reached.
 //
 // A configuration spreads as a tree: each node sends a limited number of bytes
 // per second and answers Busy to further peers, which fetch again later, from any
@@ -115,11 +116,12 @@
 	members        map[string]Member          // by node
 	departures     map[string]registry.Record // by node
 	removals       map[string]uint64          // versions at which members were removed, by node
-	readVersion    uint64                     // of the last full read of the store
-	eraStart       uint64                     // lowest version of the era of that read
-	holdUntil      time.Time                  // end of the hold of evacuations of an older era
-	dialStates     map[string]*dialState      // by node
-	links          map[uint64]*peerLink       // by link id
+	rosterSource   rosterSource
+	readVersion    uint64                // of the last full read of the store
+	eraStart       uint64                // lowest version of the era of that read
+	holdUntil      time.Time             // end of the hold of evacuations of an older era
+	dialStates     map[string]*dialState // by node
+	links          map[uint64]*peerLink  // by link id
 	lastLinkID     uint64
 	dials          int // under way
 	registered     bool
@@ -147,6 +149,7 @@
 	serverState   link.ServerState
 	startedAt     time.Time
 	silent        bool
+	configured    bool // whether the peer has a configuration
 }
 
 // Dump holds the state of a fleet for the state dump.
@@ -325,6 +328,8 @@
 		f.handleBusy(m.busy)
 	case m.members != nil:
 		f.handleMembers(ctx, m.members)
+	case m.roster != nil:
+		f.handleRoster(ctx, m.roster)
 	case m.departures != nil:
 		f.handleDepartures(m.departures)
 	case m.departure != nil:
--- a/lib/fleet/links.go
+++ b/lib/fleet/links.go
@@ -82,7 +82,7 @@
 			f.inbox.Send(message{silence: &silenceMessage{link: l, silent: silent}})
 		},
 		func(l *link.Link, err error) { f.inbox.Send(message{ended: &linkEnded{link: l, err: err}}) },
-	)).WithRollouts(f.hooks.rollouts.received)
+	)).WithRollouts(f.hooks.rollouts.received).WithRoster(func(records []registry.Record) { f.inbox.Send(message{roster: records}) })
 }
 
 // handleSignal handles a signal. It is called from the task of the link.
--- a/lib/fleet/membership.go
+++ b/lib/fleet/membership.go
@@ -83,9 +83,9 @@
 	return newest
 }
 
-// publishMembership passes the nodes of the fleet to the hook.
+// publishMembership passes the nodes of the fleet to the hook once the members are known.
 func (f *Fleet) publishMembership(newest map[string]*peerLink) {
-	if f.hooks.quotas.membership == nil {
+	if f.hooks.quotas.membership == nil || f.rosterSource == noRoster {
 		return
 	}
 	m := Membership{links: make(map[string]*link.Link, len(newest)), stopping: f.stopping}
@@ -98,10 +98,7 @@
 		_, listed := f.members[node]
 		return !listed && newest[node] == nil
 	})
-	m.members = len(f.members)
-	if _, listed := f.members[f.self.node]; !listed {
-		m.members++
-	}
+	m.members = f.memberCount()
 	for node := range f.stoppingNodes {
 		if _, listed := f.members[node]; listed {
 			m.members--
--- a/lib/fleet/membership_test.go
+++ b/lib/fleet/membership_test.go
@@ -125,6 +125,35 @@
 	must.MapLen(t, 2, m.Links())
 }
 
+// restartedQuotaNodes returns nodes that start while the store cannot be reached, next to one
+// that knows them from the store and has the configuration.
+func restartedQuotaNodes(t *testing.T, names ...string) (restarted []*quotaNode) {
+	t.Helper()
+	survivor := newQuotaNode(t, "survivor")
+	records := []registry.Record{configuration(1, "x"), survivor.record.WithVersion(2)}
+	for i, name := range names {
+		n := newQuotaNode(t, name)
+		restarted = append(restarted, n)
+		records = append(records, n.record.WithVersion(uint64(i+3)))
+	}
+	survivor.fleet.ApplyUpdate(registry.NewUpdate(records, uint64(len(names)+3), true))
+	return restarted
+}
+
+// TestMembership_RestartedNodesKnowTheFleetWithoutTheStore guards against nodes that start
+// while the store cannot be reached and take the survivor that dials them for the rest of
+// the fleet: several then own the same tenant.
+func TestMembership_RestartedNodesKnowTheFleetWithoutTheStore(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	for _, n := range restartedQuotaNodes(t, names...) {
+		must.Positive(t, <-n.snapshots)
+		n.awaitMembership(t, func(m fleet.Membership) bool {
+			must.Eq(t, len(names)+1, m.Members())
+			return len(m.Links()) == len(names)
+		})
+	}
+}
+
 func TestMembership_LinksCarryQuestions(t *testing.T) {
 	nodes := linkedQuotaNodes(t, "a", "b")
 	nodes[0].fleet.ApplyUpdate(registry.NewUpdate([]registry.Record{nodes[1].record.WithVersion(8)}, 9, false))
--- a/lib/fleet/messages.go
+++ b/lib/fleet/messages.go
@@ -23,6 +23,7 @@
 	fetch        *link.Link
 	busy         *link.Link
 	members      []registry.Record
+	roster       []registry.Record
 	departures   []registry.Record
 	departure    *departureMessage
 	suspicions   []quarantine.Record
--- a/lib/fleet/update.go
+++ b/lib/fleet/update.go
@@ -71,6 +71,9 @@
 		f.keepDepartures(departures)
 		f.hooks.departures(departures, true)
 	}
+	if u.Full() {
+		f.setRosterSource(rosterFromStore)
+	}
 	if len(members) > 0 || u.Full() {
 		f.membershipUpdated()
 	}
--- a/lib/link/codec.go
+++ b/lib/link/codec.go
@@ -51,6 +51,9 @@
 // typeRollouts is explicit, since other frame types are added between.
 const typeRollouts byte = 20
 
+// typeRoster is the type of the frame that lists all members.
+const typeRoster byte = 21
+
 // FrameError reports a frame that cannot be decoded.
 type FrameError struct {
 	frameType byte
@@ -162,6 +165,8 @@
 		return newEncoder(typeSignal, 8).varint(1, uint64(m.signal)).frame()
 	case m.members != nil:
 		return encodeRecords(typeMembers, m.members)
+	case m.roster != nil:
+		return encodeRecords(typeRoster, m.roster)
 	case m.departures != nil:
 		return encodeRecords(typeDepartures, m.departures)
 	case m.suspicions != nil:
--- a/lib/link/decode.go
+++ b/lib/link/decode.go
@@ -134,6 +134,9 @@
 	case typeMembers:
 		records, err := decodeRecords(frameType, registry.KindMember, f)
 		return Message{members: records}, err == nil, err
+	case typeRoster:
+		records, err := decodeRecords(frameType, registry.KindMember, f)
+		return Message{roster: records}, err == nil, err
 	case typeDepartures:
 		records, err := decodeRecords(frameType, registry.KindDeparture, f)
 		return Message{departures: records}, err == nil, err
@@ -213,7 +216,7 @@
 	switch frameType {
 	case typeEvent, typeRequest:
 		return 7
-	case typeSnapshot, typeMembers, typeDepartures, typeSuspicions:
+	case typeSnapshot, typeMembers, typeRoster, typeDepartures, typeSuspicions:
 		return 3
 	}
 	return 0
--- a/lib/link/exchange.go
+++ b/lib/link/exchange.go
@@ -195,6 +195,8 @@
 		l.hooks.signal(l, m.signal)
 	case m.members != nil:
 		l.hooks.members(m.members)
+	case m.roster != nil:
+		l.hooks.roster(m.roster)
 	case m.departures != nil:
 		l.hooks.departures(m.departures)
 	case m.suspicions != nil:
--- a/lib/link/hooks.go
+++ b/lib/link/hooks.go
@@ -37,6 +37,7 @@
 	versions    func(l *Link, v Versions)
 	signal      func(l *Link, s Signal)
 	members     func(records []registry.Record)
+	roster      func(records []registry.Record)
 	departures  func(records []registry.Record)
 	suspicions  func(records []quarantine.Record)
 	rollout     func(m rollout.Message)
@@ -53,5 +54,12 @@
 func NewHooks(hello func(*Link, Hello), serverState func(*Link, ServerState), versions func(*Link, Versions), signal func(*Link, Signal), members, departures func([]registry.Record), suspicions func([]quarantine.Record), snapshot func(*Link, Snapshot), silence func(*Link, bool), closed func(*Link, error)) Hooks {
 	return Hooks{hello: hello, serverState: serverState, versions: versions, signal: signal, members: members, departures: departures, suspicions: suspicions, snapshot: snapshot, silence: silence, closed: closed,
 		quotaQuestion: func(*Link, quota.Question) {}, quotaAnswer: func(*Link, quota.Answer) {},
-		rollout: func(rollout.Message) {}}
+		rollout: func(rollout.Message) {}, roster: func([]registry.Record) {}}
+}
+
+// WithRoster returns the hooks with a function that receives the entries of all members,
+// as a peer knows them.
+func (h Hooks) WithRoster(roster func([]registry.Record)) Hooks {
+	h.roster = roster
+	return h
 }
--- a/lib/link/link.go
+++ b/lib/link/link.go
@@ -209,6 +209,9 @@
 // SendMembers sends changes to member entries.
 func (l *Link) SendMembers(records []registry.Record) { l.enqueue(Encode(Message{members: records})) }
 
+// SendRoster sends the entries of all members that this node knows.
+func (l *Link) SendRoster(records []registry.Record) { l.enqueue(Encode(Message{roster: records})) }
+
 // SendDepartures sends departures of servers.
 func (l *Link) SendDepartures(records []registry.Record) {
 	l.enqueue(Encode(Message{departures: records}))
--- a/lib/link/link_test.go
+++ b/lib/link/link_test.go
@@ -42,6 +42,7 @@
 	snapshots    chan link.Snapshot
 	signals      chan link.Signal
 	members      chan []registry.Record
+	rosters      chan []registry.Record
 	departures   chan []registry.Record
 	suspicions   chan []quarantine.Record
 }
@@ -62,7 +63,7 @@
 	e := &end{
 		slotRequests: make(chan slotRequest, 8), withdrawn: make(chan limiter.Key, 8), submitted: make(chan *upstream.Request, 8),
 		cancelled: make(chan limiter.Key, 8), released: make(chan uint64, 8), silences: make(chan bool, 8), closed: make(chan error, 8), snapshots: make(chan link.Snapshot, 8),
-		signals: make(chan link.Signal, 8), members: make(chan []registry.Record, 8), departures: make(chan []registry.Record, 8), suspicions: make(chan []quarantine.Record, 8),
+		signals: make(chan link.Signal, 8), members: make(chan []registry.Record, 8), rosters: make(chan []registry.Record, 8), departures: make(chan []registry.Record, 8), suspicions: make(chan []quarantine.Record, 8),
 	}
 	handler := link.NewHandler(
 		func(k limiter.Key, a upstream.SlotRequest, reply func(upstream.Event)) {
@@ -77,7 +78,7 @@
 	hooks := link.NewHooks(func(*link.Link, link.Hello) {}, func(*link.Link, link.ServerState) {}, func(*link.Link, link.Versions) {},
 		func(_ *link.Link, s link.Signal) { e.signals <- s }, func(r []registry.Record) { e.members <- r }, func(r []registry.Record) { e.departures <- r },
 		func(r []quarantine.Record) { e.suspicions <- r }, func(_ *link.Link, s link.Snapshot) { e.snapshots <- s },
-		func(_ *link.Link, silent bool) { e.silences <- silent }, func(_ *link.Link, err error) { e.closed <- err })
+		func(_ *link.Link, silent bool) { e.silences <- silent }, func(_ *link.Link, err error) { e.closed <- err }).WithRoster(func(r []registry.Record) { e.rosters <- r })
 	e.link = link.New(conn, nil, 1, peer, handler, hooks, clock)
 	go e.link.Run(ctx)
 	return e
@@ -186,6 +187,8 @@
 	records := []registry.Record{registry.NewRecord(registry.KindMember, "host-1", []byte("{}")).WithVersion(7), registry.NewRecord(registry.KindMember, "host-2", []byte{}).WithVersion(8).AsRemoved()}
 	a.link.SendMembers(records)
 	must.Eq(t, records, <-b.members)
+	a.link.SendRoster(records)
+	must.Eq(t, records, <-b.rosters)
 }
 
 func TestCompressedConfigurationIsSmallAndDecompressesToTheOriginal(t *testing.T) {
--- a/lib/link/message.go
+++ b/lib/link/message.go
@@ -209,6 +209,7 @@
 	versions     *Versions
 	signal       Signal
 	members      []registry.Record
+	roster       []registry.Record
 	departures   []registry.Record
 	suspicions   []quarantine.Record
 	rollout      *rollout.Message
--- a/savorygap-node/internal/pipeline/quota_test.go
+++ b/savorygap-node/internal/pipeline/quota_test.go
@@ -182,6 +182,31 @@
 	must.GreaterEq(t, int(0.85*choirRate*7), len(executions))
 }
 
+// TestNodesRestartedInAStoreOutage_LimitHolds guards against nodes that are killed together
+// and take the one survivor that they are linked to for the rest of the fleet: several
+// owned a tenant, and fell back on a half of its rate each.
+func TestNodesRestartedInAStoreOutage_LimitHolds(t *testing.T) {
+	cl := newQuotaCluster(t, 8, quotaSettings, "choir")
+	killed, server := cl.hosts[:7], cl.hosts[7].server
+	server.TakeExecutions()
+	cl.store.SetUnavailable(true)
+	for _, h := range killed {
+		h.process.Stop() // without a word to its peers
+	}
+	for _, h := range killed {
+		h.kill()
+	}
+	for _, h := range killed {
+		h.start(t)
+	}
+	var load tenantLoad
+	load.send(9*time.Second, choirRate, cl.hosts...)
+	arrived := busiestQuotaWindow(server.TakeExecutions())
+	t.Logf("%d of %d allowed, served %d, refused %d, other %d", arrived, allowedForChoir(), load.served.Load(), load.refused.Load(), load.other.Load())
+	must.LessEq(t, allowedForChoir(), arrived)
+	must.GreaterEq(t, int(0.85*choirRate*5), arrived)
+}
+
 // TestLoweredLimit_BindsAfterAWindow guards against credits and tokens of the old limit.
 func TestLoweredLimit_BindsAfterAWindow(t *testing.T) {
 	const lowered = 2.0
