dispatch: take no part of the retry budget before the fleet is known

Cause: the router began with a node count of 1, and the count was passed on with records of the store only. A node that got its configuration from a peer had the minimum of the whole fleet for itself until it read the store.

Why the fix works: the members that a peer sends come before the first configuration and are counted at once. The other tests of the package set the count that they relied on.

--- a/lib/dispatch/authenticate_test.go
+++ b/lib/dispatch/authenticate_test.go
@@ -46,6 +46,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go rig.router.Run(ctx)
+	rig.router.SetNodeCount(1)
 	rig.router.SetSnapshot(fleet.NewSnapshot(5, tenantConfig(1, tenants...)))
 	rig.router.SetPeers([]fleet.Peer{fleet.NewPeer("a", "north", link.NewServerState("shop", "i-a", true), rig.server.endpoint)})
 	return rig
--- a/lib/dispatch/budget.go
+++ b/lib/dispatch/budget.go
@@ -34,9 +34,13 @@
 	updatedAt time.Time
 }
 
-// nodeShare returns this node's share of the minimum.
+// nodeShare returns this node's share of the minimum, 0 while the number of nodes is not
+// known.
 func (l RetryLimits) nodeShare(nodes int) float64 {
-	return budgetFraction * l.minimum / float64(max(nodes, 1))
+	if nodes == 0 {
+		return 0
+	}
+	return budgetFraction * l.minimum / float64(nodes)
 }
 
 // deposit adds the tokens for new requests and for the time since the last
--- a/lib/dispatch/dispatch_test.go
+++ b/lib/dispatch/dispatch_test.go
@@ -122,6 +122,7 @@
 		route("read", routeconfig.KindIdempotent, shop), route("order", routeconfig.KindNonIdempotent, shop),
 		route("split", routeconfig.KindIdempotent, routeconfig.NewWeightedService("shop", 9), routeconfig.NewWeightedService("till", 1)),
 	}, nil, routeconfig.DefaultLimits())
+	r.SetNodeCount(1)
 	r.SetSnapshot(fleet.NewSnapshot(5, c))
 	var peers []fleet.Peer
 	for _, s := range servers {
@@ -297,6 +298,19 @@
 	must.LessEq(t, 0.2*requests+minimum/nodes, own+calls)
 }
 
+// TestServe_NodeThatDoesNotKnowTheFleetTakesNoPartOfTheMinimum guards against a node that
+// starts while the store cannot be reached and takes all retries of the fleet.
+func TestServe_NodeThatDoesNotKnowTheFleetTakesNoPartOfTheMinimum(t *testing.T) {
+	for nodes, retries := range []int{0, 1} {
+		a, b := newFakeServer("a", "shop", 1), newFakeServer("b", "shop", 2)
+		a.finalEvent, b.finalEvent = endWith(upstream.NotRun), endWith(upstream.NotRun)
+		r := newRouterWith(t, clockwork.NewRealClock(), dispatch.NewRetryLimits(0, 50, 10*time.Second), a, b)
+		r.SetNodeCount(nodes)
+		r.Serve(context.Background(), call("/read/1", "id"))
+		must.Eq(t, 1+retries, len(a.submitted)+len(b.submitted))
+	}
+}
+
 func TestServe_WithoutConfigurationHasRetryAfter(t *testing.T) {
 	charts, err := chart.Embedded()
 	must.NoError(t, err)
--- a/lib/dispatch/hedgelimit_test.go
+++ b/lib/dispatch/hedgelimit_test.go
@@ -70,6 +70,7 @@
 	go r.Run(ctx)
 	routes := []routeconfig.Route{routeconfig.NewRoute("farm", "/read/", "read", routeconfig.KindIdempotent, []routeconfig.WeightedService{routeconfig.NewWeightedService("shop", 1)}).
 		WithLatency(2*time.Second, 1500*time.Millisecond).WithMaxAttempts(2)}
+	r.SetNodeCount(1)
 	r.SetSnapshot(fleet.NewSnapshot(5, routeconfig.New(1, routes, nil, routeconfig.DefaultLimits())))
 	var peers []fleet.Peer
 	for _, s := range servers {
--- a/lib/dispatch/quota_test.go
+++ b/lib/dispatch/quota_test.go
@@ -53,6 +53,7 @@
 	open := routeconfig.NewRoute("farm", "/open/", "open", routeconfig.KindIdempotent, []routeconfig.WeightedService{routeconfig.NewWeightedService("shop", 1)}).WithAnonymous(true)
 	tenant := routeconfig.NewTenant("choir", []string{quotaKey}).WithQuota(quotaRate, quotaRate)
 	config := routeconfig.New(2, []routeconfig.Route{route, open}, nil, routeconfig.DefaultLimits()).WithTenants([]routeconfig.Tenant{tenant})
+	r.SetNodeCount(1)
 	r.SetSnapshot(fleet.NewSnapshot(2, config))
 	var peers []fleet.Peer
 	for _, s := range servers {
--- a/lib/dispatch/router.go
+++ b/lib/dispatch/router.go
@@ -128,7 +128,7 @@
 	ambiguous         atomic.Pointer[holds] // since when, rather than until when
 	versions          versions
 	hedging           *hedge.Controller // nil unless the settings limit hedges
-	nodeCount         int
+	nodeCount         int               // that share the retry budgets, 0 while unknown
 	lastRequestNumber atomic.Uint64
 	active            atomic.Int64
 	beginClaim        func(tenant string) controller.Claim // nil without quotas
@@ -161,7 +161,7 @@
 	}
 	r := &Router{
 		config: config, clock: clock, log: log, observer: observer, inbox: task.NewInbox[message](inboxSize), requestChart: requestChart, stopping: make(chan struct{}),
-		servers: map[string][]*server{}, selectors: map[string]*weightedSelector{}, budgets: map[string]*budget{}, meanLatencies: map[string]time.Duration{}, nodeCount: 1,
+		servers: map[string][]*server{}, selectors: map[string]*weightedSelector{}, budgets: map[string]*budget{}, meanLatencies: map[string]time.Duration{},
 		ledger: ledger, distances: newDistances(config.farRoundTrip), hedging: newHedging(config),
 	}
 	r.held.Store(&holds{})
@@ -190,7 +190,8 @@
 	r.inbox.Send(message{localServer: &localServerMessage{service: service, accepting: accepting, endpoint: endpoint}})
 }
 
-// SetNodeCount sets the number of nodes that share the retry budgets.
+// SetNodeCount sets the number of nodes that share the retry budgets. Before, this node
+// has no part of the minimum of retries.
 func (r *Router) SetNodeCount(count int) { r.inbox.Send(message{nodeCount: &count}) }
 
 // StopAt announces that the process ends. A call that may outlive it is then refused at
--- a/lib/fleet/hooks.go
+++ b/lib/fleet/hooks.go
@@ -30,7 +30,7 @@
 //   - decode parses the operators' configuration,
 //   - snapshot receives each configuration that is put in force,
 //   - peers receives the nodes that have a link,
-//   - nodes receives the number of members,
+//   - nodes receives the number of members, this one included, once it is known,
 //   - departures receives the records of servers that leave, and whether they come
 //     from the store,
 //   - register receives the entry of this node and whether the store has it
--- a/lib/fleet/roster.go
+++ b/lib/fleet/roster.go
@@ -34,6 +34,13 @@
 	return len(f.members) + 1
 }
 
+// publishNodeCount passes the number of members on once it is known.
+func (f *Fleet) publishNodeCount() {
+	if f.rosterSource != noRoster {
+		f.hooks.nodes(f.memberCount())
+	}
+}
+
 // sendRoster sends the entries of all members to a peer without a configuration, which may
 // have started while the store cannot be reached. It returns the number of bytes.
 func (f *Fleet) sendRoster(l *link.Link) int {
@@ -70,5 +77,6 @@
 		f.setRosterSource(rosterFromPeer)
 	}
 	f.membershipUpdated()
+	f.publishNodeCount()
 	f.tick(ctx)
 }
--- a/lib/fleet/update.go
+++ b/lib/fleet/update.go
@@ -76,6 +76,7 @@
 	}
 	if len(members) > 0 || u.Full() {
 		f.membershipUpdated()
+		f.publishNodeCount()
 	}
 	f.mergeChange(change)
 	switch {
@@ -90,7 +91,6 @@
 		f.registered = true
 		f.registerSelf(u.Version(), own)
 	}
-	f.hooks.nodes(len(f.members))
 	f.tick(ctx)
 }
 
@@ -242,7 +242,7 @@
 		}
 	}
 	f.membersChanged()
-	f.hooks.nodes(len(f.members))
+	f.publishNodeCount()
 	f.tick(ctx)
 }
 
