--- a/lib/registry/turns.go
+++ b/lib/registry/turns.go
@@ -46,10 +46,10 @@
 	machine      *chart.Machine
 	clock        clockwork.Clock
 	share        func() Share
-	due          time.Time // when the node may start a watch, or the watch of activePeer is overdue
-	healthy      bool      // whether the last call of this node succeeded
-	activePeer   string    // the peer whose watch is waited for
-	overduePeers map[string]bool
+	due          time.Time       // when the node may start a watch, or the watch of activePeer is overdue
+	healthy      bool            // whether the last call of this node succeeded
+	activePeer   string          // the peer whose watch is waited for
+	overduePeers map[string]bool // peers whose last watch did not end in time
 }
 
 func newTurns(charts *chart.Set, clock clockwork.Clock, share func() Share) (*turns, error) {
@@ -106,9 +106,9 @@
 	t.fire(phase.event())
 }
 
-// isDue reports whether this node may start a watch. If the watch of a peer is overdue, it
-// has to wait for another moment.
-func (t *turns) isDue() bool {
+// handleDue handles that the time due has come, and reports whether this node may start a
+// watch. It may not yet if the watch of a peer has become overdue.
+func (t *turns) handleDue() bool {
 	if t.machine.State() != stateWatched {
 		return true
 	}
@@ -123,7 +123,8 @@
 	t.due = t.clock.Now().Add(max(least, t.outageDelay()))
 }
 
-// fire passes an event to the chart unless the current state ignores it.
+// fire passes an event to the chart unless the current state ignores it. Fire then cannot
+// fail.
 func (t *turns) fire(e chart.Event) {
 	if t.machine.Accepts(e) {
 		_ = t.machine.Fire(e)
--- a/lib/registry/watcher.go
+++ b/lib/registry/watcher.go
@@ -97,7 +97,7 @@
 	}
 }
 
-// Run watches the store until ctx ends.
+// Run watches the store until ctx ends. After a panic it goes on with the next call.
 func (w *Watcher) Run(ctx context.Context) {
 	for ctx.Err() == nil {
 		if w.runTurn(ctx) {
@@ -204,7 +204,7 @@
 			timer.Stop()
 			return
 		case <-timer.Chan():
-			if w.turns.isDue() {
+			if w.turns.handleDue() {
 				return
 			}
 		case p := <-w.peerWatches:
